--- /dev/null
+++ b/cmd/egretroad/main.go
@@ -0,0 +1,4 @@
+// Command egretroad is the database proxy and its operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,29 @@
+// Package clock reads CLOCK_BOOTTIME, which goes on counting while a VM is
+// suspended, unlike the monotonic clock of package time.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boottime returns the time since the VM's boot, suspension included.
+func Boottime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_BOOTTIME exists on every Linux since 2.6.39.
+		panic(&UnsupportedError{Cause: err})
+	}
+	return time.Duration(ts.Nano())
+}
+
+// UnsupportedError reports a kernel without CLOCK_BOOTTIME.
+type UnsupportedError struct{ Cause error }
+
+func (e *UnsupportedError) Error() string {
+	return "CLOCK_BOOTTIME is not available: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnsupportedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,113 @@
+// Package topology holds the immutable description of the fleet that decisions
+// read: VMs, database groups, backend servers, marks and the published snapshot.
+// The package performs no I/O and reads no clock.
+package topology
+
+import (
+	"time"
+)
+
+// VMState is the state of an entry VM as the platform's VM list reports it.
+type VMState string
+
+// States of an entry VM.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one entry VM, which runs one proxy process.
+type VM struct {
+	ID         string  `json:"id" msgpack:"id"`
+	DataCentre string  `json:"dataCentre" msgpack:"dc"`
+	Region     string  `json:"region" msgpack:"region"`
+	PeerAddr   string  `json:"peerAddr" msgpack:"peer"`     // IP:port of the peer listener
+	CallerAddr string  `json:"callerAddr" msgpack:"caller"` // IP:port of the PostgreSQL listener
+	State      VMState `json:"state" msgpack:"state"`
+}
+
+// ServerState is the operator's mark on a backend server.
+type ServerState string
+
+// States of a backend server.
+const (
+	ServerActive  ServerState = "active"
+	ServerJoining ServerState = "joining"
+	ServerLeaving ServerState = "leaving"
+)
+
+// Server is one backend server of a database group.
+type Server struct {
+	ID             string      `json:"id"` // unique in the fleet, e.g. "orders1-a"
+	Addr           string      `json:"addr"`
+	DataCentre     string      `json:"dataCentre"`
+	Region         string      `json:"region"`
+	State          ServerState `json:"state"`
+	Slots          int         `json:"slots"`          // statements at the same time
+	MaxConnections int         `json:"maxConnections"` // connections, the admin connection included
+}
+
+// Group is the value of the platform object of kind "group": one database with
+// its backend servers and its primary. Term rises with every promotion.
+type Group struct {
+	Database  string     `json:"database"`
+	Term      uint64     `json:"term"`
+	Primary   string     `json:"primary"` // server ID
+	Servers   []Server   `json:"servers"`
+	Promotion *Promotion `json:"promotion,omitempty"`
+}
+
+// Promotion records a promotion in progress, so that any proxy can resume it.
+type Promotion struct {
+	Coordinator string `json:"coordinator"` // VM ID
+	Term        uint64 `json:"term"`        // the term being established
+	Step        string `json:"step"`
+	Reason      string `json:"reason"`
+	Candidate   string `json:"candidate,omitempty"` // server ID
+}
+
+// Server returns the server with the given ID.
+func (g *Group) Server(id string) (Server, bool) {
+	for _, s := range g.Servers {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
+
+// Role is a backend server's replication role.
+type Role string
+
+// Roles of a backend server.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+	RoleFenced  Role = "fenced" // refuses work of terms below Fence and has no primary yet
+	RoleUnknown Role = ""
+)
+
+// ServerStatus is a measured status of one backend server. ObservedAt counts on
+// the observer's CLOCK_BOOTTIME and must not be compared between VMs.
+type ServerStatus struct {
+	Server     string        `json:"server" msgpack:"s"`
+	Term       uint64        `json:"term" msgpack:"t"`
+	Fence      uint64        `json:"fence" msgpack:"f"` // lowest term the server accepts
+	Role       Role          `json:"role" msgpack:"r"`
+	Position   uint64        `json:"position" msgpack:"p"` // last log position applied
+	Lag        time.Duration `json:"lag" msgpack:"l"`      // measured staleness; zero on a primary
+	Reachable  bool          `json:"reachable" msgpack:"u"`
+	ObservedAt time.Duration `json:"observedAt" msgpack:"o"`
+}
+
+// Covers reports whether a read on a server with this status sees mark m. A
+// server never covers a mark of a later term than its own.
+func (s ServerStatus) Covers(m Mark) bool {
+	if m.Term == 0 {
+		return true
+	}
+	if s.Term < m.Term {
+		return false
+	}
+	return s.Position >= m.Position
+}
