--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,256 @@
+package backend
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"golang.org/x/sys/unix"
+)
+
+// Options says how to connect to backend servers.
+type Options struct {
+	BindIP          string // source address; empty: the system's choice
+	User            string
+	Password        string
+	ApplicationName string
+	ConnectTimeout  time.Duration
+	// UnackedTimeout ends a connection whose bytes stay unacknowledged.
+	UnackedTimeout time.Duration
+	KeepAlive      time.Duration
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		User:            "egretroad",
+		ApplicationName: "egretroad",
+		ConnectTimeout:  2 * time.Second,
+		UnackedTimeout:  2 * time.Second,
+		KeepAlive:       5 * time.Second,
+	}
+}
+
+// Sizes of the read buffer, in bytes.
+const (
+	readBufferBytes    = 8 << 10
+	maxMessageBytes    = 64 << 20
+	messageHeaderBytes = 5
+)
+
+// Conn is one authenticated connection. It is not safe for concurrent use, but
+// for Interrupt, Cancel and Close.
+type Conn struct {
+	addr   string
+	nc     net.Conn
+	pid    uint32
+	secret []byte
+	opts   Options
+	buf    []byte
+	start  int
+	end    int
+}
+
+// Connect opens and authenticates a connection. Errors are *ConnectError.
+func Connect(ctx context.Context, opts Options, addr, database string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, opts.ConnectTimeout)
+	defer cancel()
+	config, err := clientConfig(opts, addr, database)
+	if err != nil {
+		return nil, &ConnectError{Addr: addr, Cause: err}
+	}
+	pc, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, &ConnectError{Addr: addr, Cause: err}
+	}
+	h, err := pc.Hijack()
+	if err != nil {
+		return nil, &ConnectError{Addr: addr, Cause: err}
+	}
+	return &Conn{
+		addr: addr, nc: h.Conn, pid: h.PID, secret: h.SecretKey, opts: opts,
+		buf: make([]byte, readBufferBytes),
+	}, nil
+}
+
+func clientConfig(opts Options, addr, database string) (*pgconn.Config, error) {
+	config, err := pgconn.ParseConfig("")
+	if err != nil {
+		return nil, err
+	}
+	host, port, err := splitAddr(addr)
+	if err != nil {
+		return nil, err
+	}
+	config.Host, config.Port = host, port
+	config.User, config.Password, config.Database = opts.User, opts.Password, database
+	config.TLSConfig, config.Fallbacks = nil, nil
+	config.RuntimeParams = map[string]string{"application_name": opts.ApplicationName}
+	config.DialFunc = opts.dialer().DialContext
+	return config, nil
+}
+
+func splitAddr(addr string) (string, uint16, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return "", 0, err
+	}
+	return ap.Addr().String(), ap.Port(), nil
+}
+
+// dialer dials from the bound source address.
+func (o Options) dialer() *net.Dialer {
+	d := &net.Dialer{KeepAlive: o.KeepAlive, Control: o.control}
+	if ip := net.ParseIP(o.BindIP); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
+}
+
+// control bounds the time that sent bytes stay unacknowledged.
+func (o Options) control(_, _ string, c syscall.RawConn) error {
+	var setErr error
+	err := c.Control(func(fd uintptr) {
+		ms := int(o.UnackedTimeout / time.Millisecond)
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
+// Addr returns the server's address.
+func (c *Conn) Addr() string { return c.addr }
+
+// PID returns the server's process ID of the session.
+func (c *Conn) PID() uint32 { return c.pid }
+
+// SetDeadline bounds reads and writes; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.nc.SetDeadline(t) }
+
+// Interrupt makes a read or write in progress fail with a timeout.
+func (c *Conn) Interrupt() { _ = c.nc.SetDeadline(time.Unix(1, 0)) }
+
+// Write sends encoded frontend messages. On error, sent tells how many bytes
+// may have left. Errors are *BrokenError.
+func (c *Conn) Write(messages []byte) (sent int, err error) {
+	sent, err = c.nc.Write(messages)
+	if err != nil {
+		return sent, &BrokenError{Addr: c.addr, Op: "write", Cause: err}
+	}
+	return sent, nil
+}
+
+// Next returns the next backend message with its header. The slice is valid
+// until the next call. A timeout loses no bytes: Next may be called again.
+// Errors are *BrokenError.
+func (c *Conn) Next() (byte, []byte, error) {
+	if err := c.fill(messageHeaderBytes); err != nil {
+		return 0, nil, err
+	}
+	size := int(binary.BigEndian.Uint32(c.buf[c.start+1:])) + 1
+	if size < messageHeaderBytes || size > maxMessageBytes {
+		return 0, nil, c.broken(&ProtocolError{Detail: "message of " + strconv.Itoa(size) + " bytes"})
+	}
+	if err := c.fill(size); err != nil {
+		return 0, nil, err
+	}
+	message := c.buf[c.start : c.start+size]
+	c.start += size
+	return message[0], message, nil
+}
+
+// Buffered reports whether a whole further message has been read already.
+func (c *Conn) Buffered() bool {
+	have := c.end - c.start
+	if have < messageHeaderBytes {
+		return false
+	}
+	return have > int(binary.BigEndian.Uint32(c.buf[c.start+1:]))
+}
+
+// fill reads until n bytes are buffered.
+func (c *Conn) fill(n int) error {
+	for c.end-c.start < n {
+		c.makeRoom(n)
+		got, err := c.nc.Read(c.buf[c.end:])
+		c.end += got
+		if err != nil && c.end-c.start < n {
+			return c.broken(err)
+		}
+	}
+	return nil
+}
+
+// makeRoom leaves space for a message of n bytes, and returns memory that one
+// large message took.
+func (c *Conn) makeRoom(n int) {
+	if c.start == c.end {
+		c.start, c.end = 0, 0
+		if len(c.buf) > readBufferBytes && n <= readBufferBytes {
+			c.buf = make([]byte, readBufferBytes)
+		}
+	}
+	if c.start+n <= len(c.buf) && c.end < len(c.buf) {
+		return
+	}
+	target := c.buf
+	if n > len(target) {
+		target = make([]byte, n)
+	}
+	c.end = copy(target, c.buf[c.start:c.end])
+	c.start = 0
+	c.buf = target
+}
+
+func (c *Conn) broken(cause error) error {
+	return &BrokenError{Addr: c.addr, Op: "read", Cause: cause}
+}
+
+// Cancel asks the server, on a new connection, to cancel the running statement.
+func (c *Conn) Cancel(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
+	defer cancel()
+	nc, err := c.opts.dialer().DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return &ConnectError{Addr: c.addr, Cause: err}
+	}
+	defer nc.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = nc.SetDeadline(deadline)
+	}
+	if _, err := nc.Write(c.cancelRequest()); err != nil {
+		return &BrokenError{Addr: c.addr, Op: "write", Cause: err}
+	}
+	// The server closes the connection once it has handled the request.
+	_, _ = nc.Read(make([]byte, 1))
+	return nil
+}
+
+const cancelRequestCode = 80877102
+
+func (c *Conn) cancelRequest() []byte {
+	const fixedBytes = 12
+	m := make([]byte, 0, fixedBytes+len(c.secret))
+	m = binary.BigEndian.AppendUint32(m, uint32(fixedBytes+len(c.secret)))
+	m = binary.BigEndian.AppendUint32(m, cancelRequestCode)
+	m = binary.BigEndian.AppendUint32(m, c.pid)
+	return append(m, c.secret...)
+}
+
+// Close closes the connection at once.
+func (c *Conn) Close() { _ = c.nc.Close() }
+
+// CloseGracefully tells the server goodbye and closes the connection. It may
+// only be called by the connection's user.
+func (c *Conn) CloseGracefully() {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(c.opts.ConnectTimeout))
+	_, _ = c.nc.Write([]byte{'X', 0, 0, 0, 4})
+	_ = c.nc.Close()
+}
--- /dev/null
+++ b/internal/home/admin.go
@@ -0,0 +1,149 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"egretroad/internal/backend"
+	"egretroad/internal/catalogue"
+	"egretroad/internal/outcome"
+	"egretroad/internal/topology"
+	"egretroad/internal/txn"
+)
+
+// adminConn is the connection that a home keeps for status queries and
+// administrative steps. Its users take turns.
+type adminConn struct {
+	options  backend.Options
+	addr     string
+	database string
+	turn     chan struct{} // holds one token; its holder owns conn
+	conn     *backend.Conn
+}
+
+func newAdminConn(options backend.Options, addr, database string) *adminConn {
+	a := &adminConn{options: options, addr: addr, database: database, turn: make(chan struct{}, 1)}
+	a.turn <- struct{}{}
+	return a
+}
+
+// query runs a statement before ctx ends. A broken connection is closed, and the
+// next query opens a new one.
+func (a *adminConn) query(ctx context.Context, sql string) (backend.Row, error) {
+	select {
+	case <-a.turn:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { a.turn <- struct{}{} }()
+	if a.conn == nil {
+		conn, err := backend.Connect(ctx, a.options, a.addr, a.database)
+		if err != nil {
+			return nil, err
+		}
+		a.conn = conn
+	}
+	deadline, _ := ctx.Deadline()
+	row, err := a.conn.Query(sql, deadline)
+	var server *backend.ServerError
+	if err != nil && !errors.As(err, &server) {
+		a.conn.Close()
+		a.conn = nil
+	}
+	return row, err
+}
+
+// close closes the connection once its user is done.
+func (a *adminConn) close() {
+	<-a.turn
+	if a.conn != nil {
+		a.conn.CloseGracefully()
+		a.conn = nil
+	}
+	a.turn <- struct{}{}
+}
+
+// runAdmin runs an administrative step, then reads the status.
+func (s *server) runAdmin(ctx context.Context, r txn.AdminRequest) (topology.ServerStatus, error) {
+	ctx, cancel := boundedContext(ctx, s.options.AdminTimeout)
+	defer cancel()
+	if sql := adminSQL(r); sql != "" {
+		if err := s.adminStep(ctx, sql); err != nil {
+			return topology.ServerStatus{}, err
+		}
+	}
+	return s.status.wait(ctx, nil)
+}
+
+// adminStep runs an idempotent statement, once more when the connection breaks
+// in time for that.
+func (s *server) adminStep(ctx context.Context, sql string) error {
+	const attempts = 2
+	var err error
+	for range attempts {
+		_, err = s.status.admin.query(ctx, sql)
+		var server *backend.ServerError
+		if errors.As(err, &server) {
+			return &outcome.FailedError{Code: server.Code, Message: server.Message}
+		}
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func adminSQL(r txn.AdminRequest) string {
+	switch r.Op {
+	case txn.AdminFence:
+		return backend.SQLFence(r.Term)
+	case txn.AdminPromote:
+		return backend.SQLPromote(r.Term)
+	case txn.AdminFollow:
+		return backend.SQLFollow(r.Term, r.Primary)
+	default:
+		return ""
+	}
+}
+
+// position reads the primary's position and checks it against write authority.
+func (s *server) position(ctx context.Context) (topology.Mark, error) {
+	status, err := s.status.wait(ctx, nil)
+	if err != nil {
+		return topology.Mark{}, s.noPosition(outcome.ReasonMarkUnknown, "the position could not be read", err)
+	}
+	v := s.view.Load()
+	if status.Role != topology.RolePrimary || status.Term < v.group.Term {
+		return topology.Mark{}, s.noPosition(outcome.ReasonNoPrimary, "the server is not the primary", nil)
+	}
+	mark := topology.Mark{Database: s.database, Term: status.Term, Position: status.Position}
+	if s.deps.Authority.Held(s.database, status.Term) {
+		return mark, nil
+	}
+	if err := s.deps.Authority.Confirm(ctx, mark, catalogue.ConfirmAny); err != nil {
+		return topology.Mark{}, s.noPosition(outcome.ReasonMarkUnknown, "the position could not be confirmed", err)
+	}
+	return mark, nil
+}
+
+func (s *server) noPosition(reason outcome.Reason, detail string, cause error) error {
+	return &outcome.NotRunError{Reason: reason, Detail: detail, Cause: cause}
+}
+
+// waitApplied waits until the server has applied mark m in m's own term.
+func (s *server) waitApplied(ctx context.Context, m topology.Mark) (topology.ServerStatus, error) {
+	applied := func(st topology.ServerStatus) bool { return st.Term == m.Term && st.Position >= m.Position }
+	status, err := s.status.wait(ctx, applied)
+	if err != nil {
+		return status, &outcome.NotRunError{Reason: outcome.ReasonBehind, Detail: "server " + s.id + " has not applied the position", Cause: err}
+	}
+	return status, nil
+}
+
+func boundedContext(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, limit)
+}
