Add the peer protocol and the dispatcher

Cause: gateways and homes are on different VMs. Change: msgpack frames over TCP with lanes, calls, one-way messages, credits per lane, a fleet key proved by both sides, pings only while answers are outstanding; a dispatcher that implements the home contract for the fleet. Conclusion: transactions can be carried between proxies.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// clientLink is the dialing side of a link: it makes calls and opens lanes.
+type clientLink struct {
+	link *link
+
+	mu    sync.Mutex // guards the fields below
+	next  uint64
+	calls map[uint64]chan replyBody
+	lanes map[uint64]*clientLane
+}
+
+func newClientLink(l *link) *clientLink {
+	return &clientLink{link: l, calls: map[uint64]chan replyBody{}, lanes: map[uint64]*clientLane{}}
+}
+
+// run delivers incoming frames until the link ends.
+func (c *clientLink) run() {
+	for {
+		f, err := c.link.read()
+		if err == nil {
+			err = c.deliver(f)
+		}
+		if err != nil {
+			c.link.close(err)
+			return
+		}
+	}
+}
+
+// deliver hands a frame to its call or lane. Late frames of calls and lanes
+// that have ended are dropped.
+func (c *clientLink) deliver(f frame) error {
+	switch f.Type {
+	case frameReply:
+		var body replyBody
+		if err := decode(f.Body, &body); err != nil {
+			return err
+		}
+		if ch := c.takeCall(f.Number); ch != nil {
+			ch <- body
+		}
+	case frameLaneData, frameLaneDone, frameLaneError:
+		c.mu.Lock()
+		lane := c.lanes[f.Number]
+		c.mu.Unlock()
+		if lane != nil {
+			lane.inbox.put(f)
+		}
+	default:
+		return &FrameError{Detail: "unexpected type from an acceptor"}
+	}
+	return nil
+}
+
+func (c *clientLink) takeCall(number uint64) chan replyBody {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch := c.calls[number]
+	delete(c.calls, number)
+	return ch
+}
+
+// call sends a unary call and waits for its answer.
+func (c *clientLink) call(ctx context.Context, method string, body []byte) ([]byte, error) {
+	fail := func(cause error) ([]byte, error) {
+		return nil, &UnreachableError{VM: c.link.vm, Method: method, Cause: cause}
+	}
+	payload, err := encode(callBody{Method: method, Timeout: timeLeft(ctx), Body: body})
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan replyBody, 1)
+	c.mu.Lock()
+	c.next++
+	number := c.next
+	c.calls[number] = answer
+	c.mu.Unlock()
+	defer c.takeCall(number)
+	if err := c.link.send(frame{Type: frameCall, Number: number, Body: payload}); err != nil {
+		return fail(err)
+	}
+	select {
+	case reply := <-answer:
+		if reply.Error != "" {
+			return nil, &RemoteError{VM: c.link.vm, Method: method, Message: reply.Error}
+		}
+		return reply.Body, nil
+	case <-ctx.Done():
+		return fail(ctx.Err())
+	case <-c.link.closed:
+		return fail(c.link.closeErr())
+	}
+}
+
+// timeLeft returns the time until ctx's deadline; zero without one.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline), time.Millisecond)
+}
+
+// addLane gives a lane its number.
+func (c *clientLink) addLane(l *clientLane) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	c.lanes[c.next] = l
+	return c.next
+}
+
+func (c *clientLink) removeLane(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.lanes, number)
+}
+
+// inbox holds a lane's frames; the lane's window bounds its bytes.
+type inbox struct {
+	mu     sync.Mutex // guards frames
+	frames []frame
+	ready  chan struct{} // holds a token while frames is not empty
+}
+
+func newInbox() *inbox { return &inbox{ready: make(chan struct{}, 1)} }
+
+func (b *inbox) put(f frame) {
+	b.mu.Lock()
+	b.frames = append(b.frames, f)
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns all frames.
+func (b *inbox) take() []frame {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	frames := b.frames
+	b.frames = nil
+	return frames
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ProtocolVersion is the version of the peer protocol that this program speaks.
+const ProtocolVersion = 1
+
+// Bounds of the protocol, in bytes.
+const (
+	frameHeaderBytes = 4
+	maxFrameBytes    = 8 << 20
+	maxHelloBytes    = 1 << 10
+	laneWindowBytes  = 256 << 10
+	laneChunkBytes   = 16 << 10
+)
+
+// frameType says what a frame carries.
+type frameType uint8
+
+const (
+	frameCall       frameType = iota + 1 // body: callBody
+	frameReply                           // body: replyBody
+	frameNotify                          // body: callBody
+	frameLaneOpen                        // body: openBody, with the first batch
+	frameLaneBatch                       // body: txn.Batch
+	frameLaneData                        // body: backend messages
+	frameLaneDone                        // body: doneBody
+	frameLaneError                       // body: wireError
+	frameLaneCancel                      // no body
+	frameLaneClose                       // no body
+	frameLaneCredit                      // body: creditBody
+	framePing                            // no body
+	framePong                            // no body
+	frameTypeCount  = framePong
+)
+
+// frame is the unit of the protocol: a 4-byte big-endian length, then a msgpack
+// array of type, number of the call or lane, and body.
+type frame struct {
+	Type   frameType
+	Number uint64
+	Body   []byte
+}
+
+// FrameError reports bytes that are not a valid frame.
+type FrameError struct {
+	Detail string
+	Cause  error
+}
+
+func (e *FrameError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("invalid peer frame: %s: %v", e.Detail, e.Cause)
+	}
+	return "invalid peer frame: " + e.Detail
+}
+
+// Unwrap returns the cause.
+func (e *FrameError) Unwrap() error { return e.Cause }
+
+// appendFrame encodes a frame at the end of buf.
+func appendFrame(buf []byte, f frame) ([]byte, error) {
+	start := len(buf)
+	w := appendWriter{buf: append(buf, 0, 0, 0, 0)}
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&w)
+	if err := encodeFrame(enc, f); err != nil {
+		return buf, &FrameError{Detail: "encoding", Cause: err}
+	}
+	size := len(w.buf) - start - frameHeaderBytes
+	if size > maxFrameBytes {
+		return buf, &FrameError{Detail: fmt.Sprintf("%d bytes, at most %d", size, maxFrameBytes)}
+	}
+	binary.BigEndian.PutUint32(w.buf[start:], uint32(size))
+	return w.buf, nil
+}
+
+func encodeFrame(enc *msgpack.Encoder, f frame) error {
+	if err := enc.EncodeArrayLen(3); err != nil {
+		return err
+	}
+	if err := enc.EncodeUint(uint64(f.Type)); err != nil {
+		return err
+	}
+	if err := enc.EncodeUint(f.Number); err != nil {
+		return err
+	}
+	return enc.EncodeBytes(f.Body)
+}
+
+// appendWriter is an io.Writer that appends to a slice.
+type appendWriter struct{ buf []byte }
+
+func (w *appendWriter) Write(p []byte) (int, error) {
+	w.buf = append(w.buf, p...)
+	return len(p), nil
+}
+
+// WriteByte implements io.ByteWriter, which the msgpack encoder prefers.
+func (w *appendWriter) WriteByte(b byte) error {
+	w.buf = append(w.buf, b)
+	return nil
+}
+
+// readFrame reads one frame. The body is a new slice.
+func readFrame(r *bufio.Reader, limit int) (frame, error) {
+	header, err := r.Peek(frameHeaderBytes)
+	if err != nil {
+		return frame{}, err
+	}
+	size := int(binary.BigEndian.Uint32(header))
+	if size > limit {
+		return frame{}, &FrameError{Detail: fmt.Sprintf("%d bytes, at most %d", size, limit)}
+	}
+	if _, err := r.Discard(frameHeaderBytes); err != nil {
+		return frame{}, err
+	}
+	raw := make([]byte, size)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return frame{}, err
+	}
+	return decodeFrame(raw)
+}
+
+// decodeFrame decodes a frame; its body is a part of raw.
+func decodeFrame(raw []byte) (frame, error) {
+	rd := bytes.NewReader(raw)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(rd)
+	n, err := dec.DecodeArrayLen()
+	if err != nil || n != 3 {
+		return frame{}, &FrameError{Detail: "not an array of 3", Cause: err}
+	}
+	kind, err := dec.DecodeUint8()
+	if err != nil || kind == 0 || frameType(kind) > frameTypeCount {
+		return frame{}, &FrameError{Detail: fmt.Sprintf("type %d", kind), Cause: err}
+	}
+	number, err := dec.DecodeUint64()
+	if err != nil {
+		return frame{}, &FrameError{Detail: "number", Cause: err}
+	}
+	size, err := dec.DecodeBytesLen()
+	if err != nil {
+		return frame{}, &FrameError{Detail: "body", Cause: err}
+	}
+	if size < 0 {
+		size = 0
+	}
+	if size != rd.Len() {
+		return frame{}, &FrameError{Detail: fmt.Sprintf("body of %d bytes with %d bytes left", size, rd.Len())}
+	}
+	return frame{Type: frameType(kind), Number: number, Body: raw[len(raw)-size:]}, nil
+}
+
+// encoders reuses the buffers of encode.
+var encoders = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// encode returns the msgpack form of v.
+func encode(v any) ([]byte, error) {
+	buf := encoders.Get().(*bytes.Buffer)
+	defer encoders.Put(buf)
+	buf.Reset()
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(buf)
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, &FrameError{Detail: fmt.Sprintf("encoding %T", v), Cause: err}
+	}
+	return bytes.Clone(buf.Bytes()), nil
+}
+
+// decode reads the msgpack form of v.
+func decode(body []byte, v any) error {
+	if err := msgpack.Unmarshal(body, v); err != nil {
+		return &FrameError{Detail: fmt.Sprintf("decoding %T", v), Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
+	"egretroad/internal/outcome"
+	"egretroad/internal/topology"
+	"egretroad/internal/txn"
+)
+
+// echoHome answers each batch with its own bytes, repeated Request.Term times.
+type echoHome struct {
+	txn.Home
+	mu     sync.Mutex
+	closed int
+	refuse error
+}
+
+func (h *echoHome) Open(_ context.Context, r txn.Request) (txn.Lane, error) {
+	if h.refuse != nil {
+		return nil, h.refuse
+	}
+	return &echoLane{home: h, request: r}, nil
+}
+
+type echoLane struct {
+	home    *echoHome
+	request txn.Request
+}
+
+func (l *echoLane) Run(_ context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+	for range l.request.Term {
+		if err := sink(b.Messages); err != nil {
+			return txn.Result{}, err
+		}
+	}
+	status := byte('T')
+	if b.MayCommit {
+		status = 'I'
+	}
+	return txn.Result{TxStatus: status, Mark: topology.Mark{Database: l.request.Database, Term: 1, Position: 7}}, nil
+}
+
+func (l *echoLane) Cancel() {}
+
+func (l *echoLane) Close() {
+	l.home.mu.Lock()
+	defer l.home.mu.Unlock()
+	l.home.closed++
+}
+
+func (h *echoHome) closedLanes() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.closed
+}
+
+// pair starts two nodes with the given keys and returns the dialing one.
+func pair(t *testing.T, home txn.Home, keyA, keyB string) (a, b *Node) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	snapshot := &topology.Snapshot{VMs: map[string]topology.VM{"b": {ID: "b", PeerAddr: listen.Addr().String()}}}
+	start := func(self, key string) *Node {
+		return NewNode(DefaultOptions(self, "127.0.0.1", []byte(key)), topology.NewPublisher(snapshot), eventlog.Discard(), metrics.NewRegistry())
+	}
+	a, b = start("a", keyA), start("b", keyB)
+	b.ServeLanes(home)
+	b.Handle("echo", func(_ context.Context, from string, body []byte) ([]byte, error) {
+		return append([]byte(from+":"), body...), nil
+	})
+	b.Start(listen)
+	t.Cleanup(func() { a.Stop(); b.Stop() })
+	return a, b
+}
+
+func TestCallAndErrors(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, nil, "key", "key")
+	ctx := context.Background()
+	answer, err := a.Call(ctx, "b", "echo", []byte("hi"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(answer)).To(gomega.Equal("a:hi"))
+	_, err = a.Call(ctx, "b", "missing", nil)
+	var remote *RemoteError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(remote))
+	_, err = a.Call(ctx, "c", "echo", nil)
+	var unreachable *UnreachableError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(unreachable))
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, nil, "key", "other key")
+	_, err := a.Call(context.Background(), "b", "echo", nil)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("does not prove the fleet key")))
+}
+
+func TestOtherVersionIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, b := pair(t, nil, "key", "key")
+	conn, err := net.Dial("tcp", b.listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	h := newHello("old")
+	h.Version = ProtocolVersion + 1
+	g.Expect(sendHello(conn, h)).To(gomega.Succeed())
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.HaveOccurred(), "the acceptor closes the connection")
+}
+
+func TestLaneCarriesATransaction(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, &echoHome{}, "key", "key")
+	lane := a.OpenLane("b", txn.Request{Database: "db", Term: 1, Access: catalogue.AccessWrite})
+	var got bytes.Buffer
+	sink := func(m []byte) error { got.Write(m); return nil }
+	r, err := lane.Run(context.Background(), txn.Batch{Messages: []byte("one")}, sink)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.TxStatus).To(gomega.Equal(byte('T')))
+	r, err = lane.Run(context.Background(), txn.Batch{Messages: []byte("two"), MayCommit: true}, sink)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.TxStatus).To(gomega.Equal(byte('I')))
+	g.Expect(r.Mark.Position).To(gomega.Equal(uint64(7)))
+	g.Expect(got.String()).To(gomega.Equal("onetwo"))
+}
+
+func TestAdmissionErrorsKeepTheirType(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, &echoHome{refuse: &outcome.NotRunError{Reason: outcome.ReasonQueueFull, RetryAfter: time.Second}}, "key", "key")
+	_, err := a.OpenLane("b", txn.Request{}).Run(context.Background(), txn.Batch{}, nil)
+	var notRun *outcome.NotRunError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(notRun))
+	g.Expect(err.(*outcome.NotRunError).RetryAfter).To(gomega.Equal(time.Second))
+}
+
+// A caller that does not read must not stop other lanes of the same link.
+func TestSlowLaneStopsNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, &echoHome{}, "key", "key")
+	release := make(chan struct{})
+	slowDone := make(chan int)
+	go func() {
+		total := 0
+		_, _ = a.OpenLane("b", txn.Request{Term: 1000}).Run(context.Background(), txn.Batch{Messages: make([]byte, 8192), MayCommit: true},
+			func(m []byte) error { <-release; total += len(m); return nil })
+		slowDone <- total
+	}()
+	for i := range 20 {
+		_, err := a.OpenLane("b", txn.Request{Term: 1}).Run(context.Background(), txn.Batch{Messages: []byte("x"), MayCommit: true}, func([]byte) error { return nil })
+		g.Expect(err).NotTo(gomega.HaveOccurred(), fmt.Sprint("lane ", i))
+	}
+	close(release)
+	g.Expect(<-slowDone).To(gomega.Equal(1000 * 8192))
+}
+
+func TestLostLinkGivesUnknownOnlyAfterACommit(t *testing.T) {
+	for _, commit := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		home := &echoHome{}
+		a, b := pair(t, home, "key", "key")
+		lane := a.OpenLane("b", txn.Request{Term: 1, Access: catalogue.AccessWrite})
+		_, err := lane.Run(context.Background(), txn.Batch{Messages: []byte("x")}, func([]byte) error { return nil })
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Stop()
+		_, err = lane.Run(context.Background(), txn.Batch{Messages: []byte("y"), MayCommit: commit}, func([]byte) error { return nil })
+		if commit {
+			var unknown *outcome.UnknownError
+			g.Expect(err).To(gomega.BeAssignableToTypeOf(unknown))
+		} else {
+			var notRun *outcome.NotRunError
+			g.Expect(err).To(gomega.BeAssignableToTypeOf(notRun))
+		}
+		g.Expect(home.closedLanes()).To(gomega.Equal(1), "the home closed the transaction")
+	}
+}
+
+func TestHostileFrames(t *testing.T) {
+	huge := make([]byte, 4)
+	binary.BigEndian.PutUint32(huge, maxFrameBytes+1)
+	for name, raw := range map[string][]byte{
+		"too large": huge,
+		"empty":     {0, 0, 0, 0},
+		"not array": {0, 0, 0, 1, 0xc0},
+		"bad type":  {0, 0, 0, 4, 0x93, 0x7f, 0x01, 0xc0},
+		"bad body":  {0, 0, 0, 5, 0x93, 0x01, 0x01, 0xc4, 0x09},
+	} {
+		_, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), maxFrameBytes)
+		var frameErr *FrameError
+		gomega.NewWithT(t).Expect(err).To(gomega.BeAssignableToTypeOf(frameErr), name)
+	}
+}
+
+// A link whose other side has gone silent is closed, and a new one works.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := pair(t, nil, "key", "key")
+	_, err := a.Call(context.Background(), "b", "echo", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	a.mu.Lock()
+	first := a.out["b"].client.link
+	a.mu.Unlock()
+	first.begin()
+	now := a.opts.Now()
+	first.lastRead.Store(int64(now))
+	first.pinged = true
+	first.checkSilence(now + a.opts.SilenceTimeout + time.Millisecond)
+	g.Expect(first.closeErr()).To(gomega.MatchError(gomega.ContainSubstring("no answer to a ping")))
+	_, err = a.Call(context.Background(), "b", "echo", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = b
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	good, _ := appendFrame(nil, frame{Type: frameCall, Number: 3, Body: []byte("x")})
+	f.Add(good[frameHeaderBytes:])
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		fr, err := decodeFrame(raw)
+		if err == nil && (fr.Type == 0 || fr.Type > frameTypeCount) {
+			t.Fatalf("accepted type %d", fr.Type)
+		}
+	})
+}
+
+func BenchmarkLane(b *testing.B) {
+	listen, _ := net.Listen("tcp", "127.0.0.1:0")
+	snapshot := &topology.Snapshot{VMs: map[string]topology.VM{"b": {ID: "b", PeerAddr: listen.Addr().String()}}}
+	start := func(self string) *Node {
+		return NewNode(DefaultOptions(self, "127.0.0.1", []byte("k")), topology.NewPublisher(snapshot), eventlog.Discard(), metrics.NewRegistry())
+	}
+	x, y := start("a"), start("b")
+	y.ServeLanes(&echoHome{})
+	y.Start(listen)
+	defer x.Stop()
+	defer y.Stop()
+	batch := txn.Batch{Messages: make([]byte, 100), MayCommit: true}
+	for b.Loop() {
+		if _, err := x.OpenLane("b", txn.Request{Term: 1}).Run(context.Background(), batch, func([]byte) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
