Record the replaced primary in a promotion and the dropped log in a status

Cause: a coordinator that resumes a promotion must know whose lease to wait out, and operators must see how much log a returning primary lost. Change: Promotion.From and FromTerm, ServerStatus.Dropped; the meaning of Term and Primary during a promotion is stated.

--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -48,7 +48,9 @@
 }
 
 // Group is the value of the platform object of kind "group": one database with
-// its backend servers and its primary. Term rises with every promotion.
+// its backend servers and its primary. Term rises with every promotion. While a
+// promotion is in progress Promotion is set, Term is the term being established
+// and Primary is empty; Promotion.From names the primary of the earlier term.
 type Group struct {
 	Database  string     `json:"database"`
 	Term      uint64     `json:"term"`
@@ -63,6 +65,8 @@
 	Term        uint64 `json:"term"`        // the term being established
 	Step        string `json:"step"`
 	Reason      string `json:"reason"`
+	From        string `json:"from,omitempty"`      // server ID of the replaced primary; empty: none
+	FromTerm    uint64 `json:"fromTerm,omitempty"`  // term of the replaced primary
 	Candidate   string `json:"candidate,omitempty"` // server ID
 }
 
@@ -98,6 +102,7 @@
 	Lag        time.Duration `json:"lag" msgpack:"l"`      // measured staleness; zero on a primary
 	Reachable  bool          `json:"reachable" msgpack:"u"`
 	ObservedAt time.Duration `json:"observedAt" msgpack:"o"`
+	Dropped    uint64        `json:"dropped,omitempty" msgpack:"x,omitempty"` // bytes of log dropped; set by AdminFollow only
 }
 
 // Covers reports whether a read on a server with this status sees mark m. A
--- a/internal/txn/txn.go
+++ b/internal/txn/txn.go
@@ -114,6 +114,8 @@
 	// position at or past the mark, then returns its status.
 	WaitApplied(ctx context.Context, server string, m topology.Mark) (topology.ServerStatus, error)
 	// Admin runs an administrative step on a server that this VM is home of.
+	// The status of AdminFollow carries the bytes of log dropped. A refusal by
+	// the server is an *outcome.FailedError.
 	Admin(ctx context.Context, r AdminRequest) (topology.ServerStatus, error)
 }
 
