Add the authority machine: leases, detection and promotion

Cause: the proxies order promotions themselves and must never acknowledge a write of a replaced primary. Change: internal/authority decides as a pure state machine; internal/authority/run carries its effects out and checks writes. The group object keeps the start of each term, because a server that follows a new primary has the term before it has the term's log: comparing bare terms would pick a server that lacks confirmed writes. Not tested yet: the fuzzing follows.

--- /dev/null
+++ b/internal/authority/run/errors.go
@@ -0,0 +1,40 @@
+package run
+
+import (
+	"fmt"
+
+	"egretroad/internal/topology"
+)
+
+// DecodeError reports a peer's message that cannot be parsed.
+type DecodeError struct {
+	From  string // VM ID
+	Cause error
+}
+
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("message of VM %s is not valid: %v", e.From, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// EncodeError reports a message body that cannot be encoded.
+type EncodeError struct{ Cause error }
+
+func (e *EncodeError) Error() string { return "message cannot be encoded: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// NotAppliedError reports a replica that answered without having applied a mark
+// in its term.
+type NotAppliedError struct {
+	Status topology.ServerStatus
+	Mark   topology.Mark
+}
+
+func (e *NotAppliedError) Error() string {
+	return fmt.Sprintf("replica %s is at term %d position %d, not at term %d position %d",
+		e.Status.Server, e.Status.Term, e.Status.Position, e.Mark.Term, e.Mark.Position)
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -57,6 +57,28 @@
 	Primary   string     `json:"primary"` // server ID
 	Servers   []Server   `json:"servers"`
 	Promotion *Promotion `json:"promotion,omitempty"`
+	// TermStarts lists the last terms, oldest first, with the log position at
+	// which each began. It tells how far a server's log belongs to its term.
+	TermStarts []TermStart `json:"termStarts,omitempty"`
+}
+
+// TermStart is the log position of a primary at its promotion.
+type TermStart struct {
+	Term     uint64 `json:"term"`
+	Position uint64 `json:"position"`
+}
+
+// LogTerm returns the term of the last log that a server certainly has: a
+// server that follows a new primary has the primary's term at once, but its log
+// belongs to that term only from the term's start on. It is 0 before any promotion.
+func (g *Group) LogTerm(s ServerStatus) uint64 {
+	var term uint64
+	for _, start := range g.TermStarts {
+		if start.Term <= s.Term && start.Position <= s.Position && start.Term > term {
+			term = start.Term
+		}
+	}
+	return term
 }
 
 // Promotion records a promotion in progress, so that any proxy can resume it.
@@ -68,6 +90,7 @@
 	From        string `json:"from,omitempty"`      // server ID of the replaced primary; empty: none
 	FromTerm    uint64 `json:"fromTerm,omitempty"`  // term of the replaced primary
 	Candidate   string `json:"candidate,omitempty"` // server ID
+	Position    uint64 `json:"position,omitempty"`  // log position of the candidate
 }
 
 // Server returns the server with the given ID.
