--- /dev/null
+++ b/internal/admission/floors_test.go
@@ -0,0 +1,274 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/outcome"
+)
+
+// load is one flow of work in a simulation: it always has work waiting.
+type load struct {
+	entry   EntryConfig
+	service time.Duration
+	callers int
+}
+
+// finish is the planned end of a statement in a simulation.
+type finish struct {
+	at time.Duration
+	id ID
+}
+
+type finishes []finish
+
+func (f finishes) Len() int           { return len(f) }
+func (f finishes) Less(i, j int) bool { return f[i].at < f[j].at }
+func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+func (f *finishes) Push(x any)        { *f = append(*f, x.(finish)) }
+func (f *finishes) Pop() any {
+	last := len(*f) - 1
+	x := (*f)[last]
+	*f = (*f)[:last]
+	return x
+}
+
+// simulation runs loads that never end on one machine, in simulated time.
+type simulation struct {
+	m      *Machine
+	loads  []load
+	now    time.Duration
+	nextID ID
+	owner  map[ID]int // load by transaction
+	ends   finishes
+	used   []time.Duration // slot time by load
+	byWho  map[string]int  // grants by caller
+}
+
+func newSimulation(options Options, slots int, loads []load) *simulation {
+	s := &simulation{m: New(options), loads: loads, owner: map[ID]int{}, used: make([]time.Duration, len(loads)), byWho: map[string]int{}}
+	config := &Config{Slots: slots, ConnectionLimit: 100}
+	for _, l := range loads {
+		config.Entries = append(config.Entries, l.entry)
+	}
+	s.step(Event{Type: EventConfigure, Config: config})
+	s.step(Event{Type: EventConnections, Connections: 100})
+	const waitingPerCaller = 3
+	for n, l := range loads {
+		for c := range l.callers {
+			for range waitingPerCaller {
+				s.offer(n, c)
+			}
+		}
+	}
+	return s
+}
+
+func (s *simulation) offer(n, caller int) {
+	s.nextID++
+	l := s.loads[n]
+	s.owner[s.nextID] = n
+	s.step(Event{Type: EventOffer, Work: Work{
+		ID: s.nextID, Entry: l.entry.Entry, Kind: l.entry.Kind, Owner: l.entry.Owner, Rank: l.entry.Rank,
+		Caller: fmt.Sprintf("%s-%d", l.entry.Entry, caller), Deadline: s.now + time.Hour, Bytes: 1,
+	}})
+}
+
+func (s *simulation) step(e Event) {
+	e.Now = s.now
+	for _, effect := range s.m.Step(e) {
+		if effect.Type == EffectGrant {
+			heap.Push(&s.ends, finish{at: s.now + s.loads[s.owner[effect.ID]].service, id: effect.ID})
+		}
+	}
+}
+
+func (s *simulation) run(until time.Duration) {
+	for s.ends.Len() > 0 && s.ends[0].at <= until {
+		next := heap.Pop(&s.ends).(finish)
+		s.now = next.at
+		n := s.owner[next.id]
+		s.used[n] += s.loads[n].service
+		caller := s.m.items[next.id].work.Caller
+		s.byWho[caller]++
+		s.step(Event{Type: EventEnd, ID: next.id})
+		var index int
+		_, _ = fmt.Sscanf(caller, s.loads[n].entry.Entry+"-%d", &index)
+		s.offer(n, index)
+	}
+	s.now = until
+}
+
+func simulationOptions() Options {
+	o := DefaultOptions()
+	o.Policy = PolicyQueueLength
+	o.MaxQueueAge = time.Hour
+	return o
+}
+
+// TestFloorsAreKept floods a server with several kinds and checks that each one
+// gets its floor of the slot time, and that no slot is idle.
+func TestFloorsAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(2, 6).Draw(t, "slots")
+		var loads []load
+		left := 0.9 * float64(slots-1) / float64(slots) // one slot stays with the most urgent rank
+		for n := range rapid.IntRange(2, 5).Draw(t, "loads") {
+			share := math.Floor(left*100*rapid.Float64Range(0, 0.6).Draw(t, "share")) / 100
+			left -= share
+			name := fmt.Sprintf("k%d", n)
+			loads = append(loads, load{
+				entry:   EntryConfig{Entry: name, Kind: name, Owner: name, Rank: catalogue.RankOrders, Floor: share},
+				service: time.Duration(rapid.IntRange(1, 100).Draw(t, "serviceMS")) * time.Millisecond,
+				callers: 3,
+			})
+			if n > 0 {
+				loads[n].entry.Rank = catalogue.RankReads
+			}
+		}
+		s := newSimulation(simulationOptions(), slots, loads)
+		const length = 60 * time.Second
+		s.run(length)
+		total := time.Duration(0)
+		for n, l := range loads {
+			total += s.used[n]
+			want := l.entry.Floor * float64(slots) * length.Seconds()
+			slack := 2*0.1*float64(slots) + 0.02*want
+			if s.used[n].Seconds() < want-slack {
+				t.Fatalf("%s got %.2f of %.2f slot seconds: %+v", l.entry.Kind, s.used[n].Seconds(), want, s.m.Status())
+			}
+		}
+		if idle := float64(slots)*length.Seconds() - total.Seconds(); idle > 0.1*float64(slots) {
+			t.Fatalf("%.2f slot seconds were idle", idle)
+		}
+	})
+}
+
+// TestUnusedFloorGoesToOthers checks that a floor costs nothing while its kind
+// has no work, and that service taken while slots were free is no debt.
+func TestUnusedFloorGoesToOthers(t *testing.T) {
+	g := NewWithT(t)
+	orders := load{entry: EntryConfig{Entry: "orders", Kind: "orders", Owner: "o", Rank: catalogue.RankOrders}, service: 10 * time.Millisecond, callers: 4}
+	reports := load{entry: EntryConfig{Entry: "reports", Kind: "reports", Owner: "r", Rank: catalogue.RankReports, Floor: 0.25}, service: 50 * time.Millisecond}
+	s := newSimulation(simulationOptions(), 4, []load{orders, reports})
+	s.run(5 * time.Second)
+	g.Expect(s.used[0]).To(BeNumerically("~", 20*time.Second, 100*time.Millisecond))
+	s.offer(1, 0)
+	s.offer(1, 0)
+	s.run(10 * time.Second)
+	g.Expect(s.used[1]).To(BeNumerically("~", 5*time.Second, 500*time.Millisecond))
+}
+
+// TestOwnersAndCallersShareFairly lets one owner, and one caller, offer far more
+// than the others of the kind.
+func TestOwnersAndCallersShareFairly(t *testing.T) {
+	g := NewWithT(t)
+	owner := func(name string, callers int) load {
+		return load{entry: EntryConfig{Entry: name, Kind: "reads", Owner: name, Rank: catalogue.RankReads}, service: 10 * time.Millisecond, callers: callers}
+	}
+	s := newSimulation(simulationOptions(), 3, []load{owner("flood", 50), owner("a", 1), owner("b", 2)})
+	s.run(20 * time.Second)
+	for n := range s.used {
+		g.Expect(s.used[n]).To(BeNumerically("~", 20*time.Second, 400*time.Millisecond), "owner %d", n)
+	}
+	g.Expect(s.byWho["b-0"]).To(BeNumerically("~", s.byWho["b-1"], 3))
+}
+
+// TestExpectedWaitRefuses floods a queue with short deadlines: work that could
+// not be served in time is refused at once, and what is accepted is served.
+func TestExpectedWaitRefuses(t *testing.T) {
+	g := NewWithT(t)
+	m := New(DefaultOptions())
+	m.Step(Event{Type: EventConfigure, Config: &Config{Slots: 2, ConnectionLimit: 10}})
+	m.Step(Event{Type: EventConnections, Connections: 10})
+	const service, deadline = 10 * time.Millisecond, 200 * time.Millisecond
+	var ends finishes
+	counts := map[outcome.Reason]int{}
+	accepted, served := map[ID]bool{}, 0
+	take := func(now time.Duration, effects []Effect) {
+		for _, e := range effects {
+			if e.Type == EffectGrant {
+				heap.Push(&ends, finish{at: now + service, id: e.ID})
+				served++
+				continue
+			}
+			if accepted[e.ID] {
+				counts["expired"]++
+			}
+			counts[e.Reason]++
+			g.Expect(e.RetryAfter).To(BeNumerically(">", 0))
+		}
+	}
+	const offers = 5000
+	for id := ID(1); id <= offers; id++ {
+		now := time.Duration(id) * time.Millisecond // 1000 a second; 200 a second can be served
+		for ends.Len() > 0 && ends[0].at <= now {
+			end := heap.Pop(&ends).(finish)
+			take(end.at, m.Step(Event{Type: EventEnd, Now: end.at, ID: end.id}))
+		}
+		before := m.Waiting()
+		take(now, m.Step(Event{Type: EventOffer, Now: now, Work: Work{ID: id, Entry: "e", Kind: "k", Owner: "o", Caller: fmt.Sprint(id), Rank: 1, Deadline: now + deadline}}))
+		accepted[id] = m.Waiting() > before
+	}
+	g.Expect(served).To(BeNumerically(">", 980)) // 5 s at 200 a second
+	g.Expect(counts[outcome.ReasonDeadline]).To(BeNumerically(">", 3500))
+	g.Expect(counts["expired"]).To(BeNumerically("<", 20))
+	g.Expect(m.Waiting()).To(BeNumerically("<", 40))
+}
+
+// BenchmarkDecision measures one offer and one end while others wait.
+func BenchmarkDecision(b *testing.B) {
+	for _, waiting := range []int{10, 1000, 100_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			benchmarkDecision(b, waiting)
+		})
+	}
+}
+
+func benchmarkDecision(b *testing.B, waiting int) {
+	options := simulationOptions()
+	options.DefaultQueueLength, options.MaxQueueBytes = 1_000_000, 1<<40
+	m := New(options)
+	config := &Config{Slots: 2, ConnectionLimit: 14}
+	const entries = 6
+	for n := range entries {
+		config.Entries = append(config.Entries, EntryConfig{Entry: fmt.Sprint("e", n), Kind: fmt.Sprint("k", n/2), Owner: fmt.Sprint("o", n), Rank: catalogue.Rank(1 + n/2), Floor: 0.1})
+	}
+	m.Step(Event{Type: EventConfigure, Config: config})
+	m.Step(Event{Type: EventConnections, Connections: 14})
+	callers := make([]string, 10_000)
+	for i := range callers {
+		callers[i] = fmt.Sprint("caller", i)
+	}
+	now := time.Duration(0)
+	id := ID(0)
+	var running []ID
+	offer := func() {
+		id++
+		now += time.Microsecond
+		e := config.Entries[int(id)%entries]
+		for _, effect := range m.Step(Event{Type: EventOffer, Now: now, Work: Work{ID: id, Entry: e.Entry, Kind: e.Kind, Owner: e.Owner, Rank: e.Rank, Caller: callers[int(id)%len(callers)], Deadline: now + time.Hour}}) {
+			running = append(running, effect.ID)
+		}
+	}
+	for range waiting {
+		offer()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		offer()
+		end := running[0]
+		running = running[1:]
+		now += time.Microsecond
+		for _, effect := range m.Step(Event{Type: EventEnd, Now: now, ID: end}) {
+			running = append(running, effect.ID)
+		}
+	}
+}
