--- /dev/null
+++ b/internal/standin/deployment/deployment_test.go
@@ -0,0 +1,196 @@
+package deployment_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/platform"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/standin/network"
+	"egretroad/internal/topology"
+)
+
+const patience = 10 * time.Second
+
+func start(t *testing.T, edit func(*deployment.Options)) *deployment.Deployment {
+	t.Helper()
+	o := deployment.DefaultOptions()
+	o.Scale = 0
+	if edit != nil {
+		edit(&o)
+	}
+	d, err := deployment.Start(o)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(d.Close)
+	return d
+}
+
+func TestDeploymentsHaveTheirSizesAndCatalogue(t *testing.T) {
+	for name, want := range map[string]struct {
+		database, kind string
+		kinds          []string
+		slots          int
+	}{
+		deployment.BrightSpokes: {"orders1", "orders", []string{"grants", "orders", "reports", "stock"}, 2},
+		deployment.CabraRonda:   {"ledger1", "tallies", []string{"reports", "routes", "tallies"}, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := start(t, func(o *deployment.Options) {
+				o.Name = name
+				o.Proxies = 9
+			})
+			g.Expect(d.Databases()).To(HaveLen(3))
+			g.Expect(d.VMs).To(HaveLen(9))
+			object, ok := d.Platform.Get(platform.KindGroup, want.database)
+			g.Expect(ok).To(BeTrue())
+			var group topology.Group
+			g.Expect(json.Unmarshal(object.Value, &group)).To(Succeed())
+			g.Expect(group.Servers).To(HaveLen(3))
+			g.Expect(group.Servers[0].Slots).To(Equal(want.slots))
+			var entries []catalogue.Entry
+			for _, kind := range want.kinds {
+				object, ok := d.Platform.Get(platform.KindCatalogue, want.database+"."+kind)
+				g.Expect(ok).To(BeTrue(), kind)
+				var e catalogue.Entry
+				g.Expect(json.Unmarshal(object.Value, &e)).To(Succeed())
+				g.Expect(e.Check()).To(Succeed())
+				entries = append(entries, e)
+			}
+			e, err := catalogue.New(entries).Resolve(want.database, "", "anyone")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(e.Kind).To(Equal(want.kind))
+			g.Expect(e.Repeatable).To(BeFalse())
+			g.Expect(e.Confirm).To(Equal(catalogue.ConfirmReplica))
+		})
+	}
+	_, err := deployment.Start(deployment.Options{Name: "elsewhere"})
+	var unknown *deployment.UnknownDeploymentError
+	NewWithT(t).Expect(err).To(BeAssignableToTypeOf(unknown))
+}
+
+func TestFaultsOverThePlatformsAddress(t *testing.T) {
+	g := NewWithT(t)
+	d := start(t, nil)
+	post := func(action string, args ...string) string {
+		body, _ := json.Marshal(deployment.FaultRequest{Action: action, Args: args})
+		response, err := http.Post(d.Platform.URL()+deployment.PathFault, "application/json", bytes.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		var reply deployment.FaultReply
+		g.Expect(json.NewDecoder(response.Body).Decode(&reply)).To(Succeed())
+		return reply.Error
+	}
+	list := func() error {
+		response, err := http.Get(d.Platform.URL() + platform.PathVMs)
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	primary := d.Groups["orders1"].Primary()
+	g.Expect(post("stop-primary", "orders1")).To(BeEmpty())
+	g.Expect(primary.Running()).To(BeFalse())
+	g.Expect(post("cut", "salish-a")).To(BeEmpty())
+	g.Expect(d.Network.Blocked(netip.MustParseAddr("127.0.1.1"), netip.MustParseAddr("127.0.2.1"))).To(BeTrue())
+	g.Expect(post("platform-down")).To(BeEmpty())
+	g.Expect(list()).NotTo(Succeed())
+	g.Expect(post("platform-up")).To(BeEmpty())
+	g.Expect(list()).To(Succeed())
+	g.Expect(post("platform-slow", "1")).To(BeEmpty())
+	g.Expect(post("heal")).To(BeEmpty())
+	g.Expect(primary.Running()).To(BeTrue())
+	g.Expect(d.Network.Blocked(netip.MustParseAddr("127.0.1.1"), netip.MustParseAddr("127.0.2.1"))).To(BeFalse())
+
+	g.Expect(post("lag", "orders2", "3600000")).To(BeEmpty())
+	c, err := pgx.Connect(t.Context(), "postgres://u@"+d.Groups["orders2"].Primary().Addr()+"/orders2?sslmode=disable")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Exec(t.Context(), "INSERT INTO kv (key, value) VALUES ('k', 'v')")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(d.Server("orders2-a").Data()).To(BeEmpty())
+	g.Expect(post("silence", d.Groups["orders2"].Primary().ID())).To(BeEmpty())
+	answer := make(chan error, 1)
+	go func() { answer <- c.Ping(t.Context()) }()
+	g.Consistently(answer, 50*time.Millisecond).ShouldNot(Receive())
+
+	for want, call := range map[string][]string{
+		"unknown fault":       {"explode"},
+		"takes DB":            {"stop-primary"},
+		"unknown database":    {"stop-primary", "orders9"},
+		"unknown data centre": {"cut", "nowhere"},
+		"unknown server":      {"silence", "orders9-a"},
+		"takes MS":            {"platform-slow", "-1"},
+		"takes DB MS":         {"lag", "orders1", "soon"},
+		"takes no arguments":  {"heal", "all"},
+	} {
+		g.Expect(post(call[0], call[1:]...)).To(ContainSubstring(want))
+	}
+}
+
+func TestRelaysHoldBytesWhileCut(t *testing.T) {
+	g := NewWithT(t)
+	d := start(t, nil)
+	target := d.VMs[1]
+	l, err := net.Listen("tcp", target.PeerListen)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	sources := make(chan string, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+			sources <- host
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	dial := func() net.Conn {
+		local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(d.VMs[0].BindIP), 0))
+		c, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", target.PeerAddr)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	echo := func(c net.Conn) <-chan error {
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Write([]byte("x"))
+			if err == nil {
+				_, err = io.ReadFull(c, make([]byte, 1))
+			}
+			done <- err
+		}()
+		return done
+	}
+	open := dial()
+	g.Eventually(echo(open), patience).Should(Receive(BeNil()))
+	g.Expect(<-sources).To(Equal(d.VMs[0].BindIP))
+	g.Expect(d.Network.Cut(d.VMs[1].DataCentre)).To(Succeed())
+	held, late := echo(open), echo(dial())
+	g.Consistently(held, 50*time.Millisecond).ShouldNot(Receive())
+	g.Expect(late).NotTo(Receive())
+	d.Network.Heal()
+	g.Eventually(held, patience).Should(Receive(BeNil()))
+	g.Eventually(late, patience).Should(Receive(BeNil()))
+}
+
+func TestVMStates(t *testing.T) {
+	g := NewWithT(t)
+	d := start(t, func(o *deployment.Options) { o.VMLag = 0 })
+	g.Expect(d.SetVMState(d.VMs[0].ID, topology.VMLeaving)).To(Succeed())
+	g.Expect(d.SetVMState("none", topology.VMLeaving)).To(MatchError(ContainSubstring("unknown VM")))
+	var unknown *network.UnknownDataCentreError
+	g.Expect(d.Fault("cut", "nowhere")).To(BeAssignableToTypeOf(unknown))
+}
