--- a/internal/standin/pgserver/lexer.go
+++ b/internal/standin/pgserver/lexer.go
@@ -15,8 +15,12 @@
 type token struct {
 	kind tokenKind
 	text string
+	end  int // offset in the SQL after the token
 }
 
+// is reports whether the token is the given punctuation.
+func (t token) is(punct string) bool { return t.kind == tokenPunct && t.text == punct }
+
 func isWordByte(b byte) bool {
 	return b == '_' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b >= 0x80
 }
@@ -48,21 +52,21 @@
 			if err != nil {
 				return nil, err
 			}
-			tokens = append(tokens, token{tokenLiteral, text})
+			tokens = append(tokens, token{tokenLiteral, text, next})
 			i = next
 		case (b == 'E' || b == 'e') && strings.HasPrefix(sql[i+1:], "'"):
 			text, next, err := lexString(sql, i+2, true)
 			if err != nil {
 				return nil, err
 			}
-			tokens = append(tokens, token{tokenLiteral, text})
+			tokens = append(tokens, token{tokenLiteral, text, next})
 			i = next
 		case b == '"':
 			end := strings.IndexByte(sql[i+1:], '"')
 			if end < 0 {
 				return nil, syntaxError("unterminated quoted identifier")
 			}
-			tokens = append(tokens, token{tokenWord, sql[i+1 : i+1+end]})
+			tokens = append(tokens, token{tokenWord, sql[i+1 : i+1+end], i + end + 2})
 			i += end + 2
 		case b == '$' || isDigit(b):
 			start := i
@@ -72,14 +76,14 @@
 			if b == '$' {
 				kind, text = tokenParam, sql[start+1:i]
 			}
-			tokens = append(tokens, token{kind, text})
+			tokens = append(tokens, token{kind, text, i})
 		case isWordByte(b):
 			start := i
 			for ; i < len(sql) && isWordByte(sql[i]); i++ {
 			}
-			tokens = append(tokens, token{tokenWord, strings.ToLower(sql[start:i])})
+			tokens = append(tokens, token{tokenWord, strings.ToLower(sql[start:i]), i})
 		default:
-			tokens = append(tokens, token{tokenPunct, sql[i : i+1]})
+			tokens = append(tokens, token{tokenPunct, sql[i : i+1], i + 1})
 			i++
 		}
 	}
--- a/internal/standin/pgserver/parser.go
+++ b/internal/standin/pgserver/parser.go
@@ -120,9 +120,10 @@
 		return nil, err
 	}
 	var all []*statement
+	start := 0
 	for len(tokens) > 0 {
 		end := 0
-		for end < len(tokens) && tokens[end] != (token{tokenPunct, ";"}) {
+		for end < len(tokens) && !tokens[end].is(";") {
 			end++
 		}
 		if end > 0 {
@@ -130,10 +131,14 @@
 			if err != nil {
 				return nil, err
 			}
-			st.sql = sql
+			st.sql = strings.TrimSpace(sql[start:tokens[end-1].end])
 			all = append(all, st)
 		}
-		tokens = tokens[min(end+1, len(tokens)):]
+		if end < len(tokens) {
+			start = tokens[end].end
+			end++
+		}
+		tokens = tokens[end:]
 	}
 	return all, nil
 }
@@ -334,7 +339,7 @@
 		if t.kind == tokenParam {
 			return "", false
 		}
-		if comma := t == (token{tokenPunct, ","}); comma != (i%2 == 1) {
+		if comma := t.is(","); comma != (i%2 == 1) {
 			if t.text == "-" && i == 0 && len(tokens) == 2 {
 				return "-" + tokens[1].text, true
 			}
