--- a/internal/home/admin.go
+++ b/internal/home/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"egretroad/internal/backend"
@@ -68,30 +69,36 @@
 func (s *server) runAdmin(ctx context.Context, r txn.AdminRequest) (topology.ServerStatus, error) {
 	ctx, cancel := boundedContext(ctx, s.options.AdminTimeout)
 	defer cancel()
+	dropped := uint64(0)
 	if sql := adminSQL(r); sql != "" {
-		if err := s.adminStep(ctx, sql); err != nil {
+		row, err := s.adminStep(ctx, sql)
+		if err != nil {
 			return topology.ServerStatus{}, err
 		}
+		if r.Op == txn.AdminFollow && len(row) == 1 {
+			dropped, _ = strconv.ParseUint(row[0], 10, 64)
+		}
 	}
-	return s.status.wait(ctx, nil)
+	status, err := s.status.wait(ctx, nil)
+	status.Dropped = dropped
+	return status, err
 }
 
 // adminStep runs an idempotent statement, once more when the connection breaks
 // in time for that.
-func (s *server) adminStep(ctx context.Context, sql string) error {
+func (s *server) adminStep(ctx context.Context, sql string) (row backend.Row, err error) {
 	const attempts = 2
-	var err error
 	for range attempts {
-		_, err = s.status.admin.query(ctx, sql)
+		row, err = s.status.admin.query(ctx, sql)
 		var server *backend.ServerError
 		if errors.As(err, &server) {
-			return &outcome.FailedError{Code: server.Code, Message: server.Message}
+			return nil, &outcome.FailedError{Code: server.Code, Message: server.Message}
 		}
 		if err == nil || ctx.Err() != nil {
-			return err
+			return row, err
 		}
 	}
-	return err
+	return nil, err
 }
 
 func adminSQL(r txn.AdminRequest) string {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -358,6 +358,7 @@
 	x.expected = x.expected[1:]
 	x.l.txStatus = message[messageHeaderBytes]
 	x.l.skipping, x.l.unsynced = false, false
+	x.conn.Answered()
 	return nil
 }
 
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,540 @@
+package home
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/backend"
+	"egretroad/internal/catalogue"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/outcome"
+	"egretroad/internal/reducer"
+	"egretroad/internal/standin/network"
+	"egretroad/internal/standin/pgserver"
+	"egretroad/internal/topology"
+	"egretroad/internal/txn"
+)
+
+// patience bounds waits in tests.
+const patience = 10 * time.Second
+
+// authority is a write authority that a test switches.
+type authority struct {
+	held    atomic.Bool
+	refuses atomic.Bool
+	asked   atomic.Int64
+}
+
+func (a *authority) Held(string, uint64) bool { return a.held.Load() }
+
+func (a *authority) Confirm(context.Context, topology.Mark, catalogue.Confirm) error {
+	a.asked.Add(1)
+	if a.refuses.Load() {
+		return &outcome.UnknownError{Reason: outcome.ReasonUnconfirmed, Detail: "refused by the test"}
+	}
+	return nil
+}
+
+// fixture is a group of stand-in servers with one home.
+type fixture struct {
+	*WithT
+	t         *testing.T
+	group     *pgserver.Group
+	manager   *Manager
+	authority *authority
+	publisher *topology.Publisher
+	observed  sync.Map // last reducer.ServerObserved by server
+}
+
+const (
+	testSlots       = 2
+	testConnections = 16
+)
+
+func newFixture(t *testing.T, change func(*Options)) *fixture {
+	specs := []pgserver.ServerSpec{
+		{ID: "db-a", DataCentre: "dc1", Addr: "127.0.1.100:0", Slots: testSlots, MaxConnections: testConnections, ConnectDelay: 2 * time.Millisecond},
+		{ID: "db-b", DataCentre: "dc1", Addr: "127.0.1.101:0", Slots: testSlots, MaxConnections: testConnections, Lag: 20 * time.Millisecond},
+	}
+	group, err := pgserver.NewGroup("db", specs, network.New([]string{"dc1"}), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	group.SetRecording(true)
+	f := &fixture{WithT: NewWithT(t), t: t, group: group, authority: &authority{}}
+	f.authority.held.Store(true)
+	f.publisher = topology.NewPublisher(f.snapshot("self"))
+	options := DefaultOptions()
+	options.Pool.Backend.BindIP = "127.0.1.1"
+	if change != nil {
+		change(&options)
+	}
+	f.manager = New(options, Deps{
+		Self: "self", Source: f.publisher, Authority: f.authority, Log: eventlog.Discard(),
+		Observe: func(o reducer.ServerObserved) { f.observed.Store(o.Status.Server, o) },
+	})
+	f.manager.Start()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		f.manager.Stop(ctx)
+		group.Close()
+	})
+	return f
+}
+
+func (f *fixture) snapshot(home string) *topology.Snapshot {
+	g := &topology.Group{Database: "db", Term: pgserver.FirstTerm, Primary: "db-a"}
+	homes := map[string]string{}
+	for _, s := range f.group.Servers() {
+		g.Servers = append(g.Servers, topology.Server{
+			ID: s.ID(), Addr: s.Addr(), DataCentre: "dc1", State: topology.ServerActive,
+			Slots: testSlots, MaxConnections: testConnections,
+		})
+		homes[s.ID()] = home
+	}
+	return &topology.Snapshot{
+		Self: "self", Groups: map[string]*topology.Group{"db": g}, Homes: homes,
+		Catalogue: catalogue.New([]catalogue.Entry{
+			{Name: "orders", Kind: "orders", Owner: "o", Database: "db", Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Deadline: 5000},
+			{Name: "stock", Kind: "stock", Owner: "o", Database: "db", Rank: catalogue.RankReads, Access: catalogue.AccessRead, Deadline: 5000},
+		}),
+	}
+}
+
+func write() txn.Request {
+	return txn.Request{
+		ID: "w", Database: "db", Server: "db-a", Term: pgserver.FirstTerm, Entry: "orders", Kind: "orders", Owner: "o", Caller: "c",
+		Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Timeout: patience,
+	}
+}
+
+func read(server string) txn.Request {
+	return txn.Request{
+		ID: "r", Database: "db", Server: server, Term: pgserver.FirstTerm, Entry: "stock", Kind: "stock", Owner: "o", Caller: "c",
+		Rank: catalogue.RankReads, Access: catalogue.AccessRead, Timeout: patience, MarkWait: time.Second,
+	}
+}
+
+// collector decodes an answer.
+type collector struct{ messages []byte }
+
+func (c *collector) sink(m []byte) error {
+	c.messages = append(c.messages, m...)
+	return nil
+}
+
+// types returns the types of the messages.
+func (c *collector) types() string {
+	types := ""
+	for rest := c.messages; len(rest) > 0; {
+		message, after, err := cutMessage(rest)
+		if err != nil {
+			return types + "?"
+		}
+		types += string(message[0])
+		rest = after
+	}
+	return types
+}
+
+// value returns the first column of the first row.
+func (c *collector) value() string {
+	for rest := c.messages; len(rest) > 0; {
+		message, after, err := cutMessage(rest)
+		if err != nil {
+			break
+		}
+		if message[0] == 'D' {
+			row, _ := backend.DecodeRow(message)
+			return row[0]
+		}
+		rest = after
+	}
+	return ""
+}
+
+func query(sql string, mayCommit bool) txn.Batch {
+	return txn.Batch{Messages: backend.AppendQuery(nil, sql), MayCommit: mayCommit}
+}
+
+func encode(messages ...pgproto3.FrontendMessage) []byte {
+	var out []byte
+	for _, m := range messages {
+		out, _ = m.Encode(out)
+	}
+	return out
+}
+
+func (f *fixture) open(r txn.Request) txn.Lane {
+	f.t.Helper()
+	var lane txn.Lane
+	f.Eventually(func() (err error) {
+		lane, err = f.manager.Open(context.Background(), r)
+		return err
+	}, patience).Should(Succeed())
+	return lane
+}
+
+// run opens a lane and runs one batch.
+func (f *fixture) run(r txn.Request, b txn.Batch) (*collector, txn.Result, error) {
+	f.t.Helper()
+	lane := f.open(r)
+	defer lane.Close()
+	c := &collector{}
+	result, err := lane.Run(context.Background(), b, c.sink)
+	return c, result, err
+}
+
+func insert(key string) string {
+	return fmt.Sprintf("INSERT INTO kv (key, value) VALUES ('%s', 'v')", key)
+}
+
+const selectA = "SELECT value FROM kv WHERE key = 'a'"
+
+func TestWriteThenReadOnReplica(t *testing.T) {
+	f := newFixture(t, nil)
+	c, result, err := f.run(write(), query(insert("a"), true))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(c.types()).To(Equal("C"))
+	f.Expect(result.TxStatus).To(Equal(byte('I')))
+	f.Expect(result.Mark.Position).To(BeNumerically(">", 0))
+	f.Expect(f.authority.asked.Load()).To(Equal(int64(1)))
+	r := read("db-b")
+	r.Mark = result.Mark
+	c, _, err = f.run(r, query(selectA, true))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(c.value()).To(Equal("v"))
+}
+
+func TestReadOnLaggingReplicaIsRefused(t *testing.T) {
+	f := newFixture(t, nil)
+	f.group.Server("db-b").SetLag(time.Minute)
+	_, result, err := f.run(write(), query(insert("a"), true))
+	f.Expect(err).NotTo(HaveOccurred())
+	r := read("db-b")
+	r.Mark, r.MarkWait = result.Mark, 20*time.Millisecond
+	_, err = f.manager.Open(context.Background(), r)
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonBehind))
+	r = read("db-b")
+	r.MaxAge, r.MarkWait = time.Millisecond, 20*time.Millisecond
+	_, err = f.manager.Open(context.Background(), r)
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonBehind))
+}
+
+func reasonOf(err error) outcome.Reason {
+	var notRun *outcome.NotRunError
+	var unknown *outcome.UnknownError
+	switch {
+	case errors.As(err, &notRun):
+		return notRun.Reason
+	case errors.As(err, &unknown):
+		return "unknown:" + unknown.Reason
+	}
+	return ""
+}
+
+func TestPreparedStatementsFollowTheSession(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.Pool.MaxStatements = 2 })
+	for n := range 6 {
+		st := txn.Statement{Name: fmt.Sprint("s", n%4), SQL: fmt.Sprintf("SELECT value FROM kv WHERE key = '%d'", n%4)}
+		b := txn.Batch{Messages: encode(&pgproto3.Bind{PreparedStatement: st.Name}, &pgproto3.Execute{}, &pgproto3.Sync{}), Statements: []txn.Statement{st, st}}
+		c, result, err := f.run(read("db-b"), b)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(c.types()).To(Equal("2C"))
+		f.Expect(result.Failed).To(BeFalse())
+	}
+	parse := encode(&pgproto3.Parse{Name: "p", Query: selectA}, &pgproto3.Describe{ObjectType: 'S', Name: "p"}, &pgproto3.Sync{})
+	for range 3 {
+		c, _, err := f.run(read("db-b"), txn.Batch{Messages: parse})
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(c.types()).To(Equal("1tT"))
+	}
+}
+
+func TestErrorInPipelineSkipsToSync(t *testing.T) {
+	f := newFixture(t, nil)
+	batch := encode(&pgproto3.Parse{Query: "nonsense"}, &pgproto3.Bind{}, &pgproto3.Execute{},
+		&pgproto3.Parse{Name: "never", Query: selectA}, &pgproto3.Sync{})
+	c, result, err := f.run(read("db-b"), txn.Batch{Messages: batch})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(c.types()).To(Equal("E"))
+	f.Expect(result.Failed).To(BeTrue())
+	after := encode(&pgproto3.Parse{Name: "never", Query: selectA}, &pgproto3.Close{ObjectType: 'S', Name: "never"}, &pgproto3.Sync{})
+	c, _, err = f.run(read("db-b"), txn.Batch{Messages: after})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(c.types()).To(Equal("13"))
+}
+
+func TestTransactionSettlesAndFlushes(t *testing.T) {
+	f := newFixture(t, nil)
+	lane := f.open(write())
+	c := &collector{}
+	for _, sql := range []string{"BEGIN", insert("a"), insert("b")} {
+		result, err := lane.Run(context.Background(), query(sql, false), c.sink)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(result.TxStatus).To(Equal(byte('T')))
+	}
+	flush := encode(&pgproto3.Parse{Query: selectA}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{})
+	result, err := lane.Run(context.Background(), txn.Batch{Messages: flush, Flush: true}, c.sink)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result.TxStatus).To(Equal(byte(0)))
+	_, err = lane.Run(context.Background(), txn.Batch{Messages: encode(&pgproto3.Sync{})}, c.sink)
+	f.Expect(err).NotTo(HaveOccurred())
+	result, err = lane.Run(context.Background(), query("COMMIT", true), c.sink)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result.TxStatus).To(Equal(byte('I')))
+	f.Expect(result.Mark.Term).To(Equal(uint64(pgserver.FirstTerm)))
+	f.Expect(c.types()).To(Equal("CCC12DCC"))
+	f.Expect(f.group.Server("db-a").Data()).To(HaveLen(2))
+}
+
+func TestClosedLaneRollsBack(t *testing.T) {
+	f := newFixture(t, nil)
+	lane := f.open(write())
+	for _, sql := range []string{"BEGIN", insert("a")} {
+		_, err := lane.Run(context.Background(), query(sql, false), (&collector{}).sink)
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	lane.Close()
+	lane.Close()
+	f.Eventually(func() int { return f.group.Server("db-a").Stats().OpenWriters }, patience).Should(BeZero())
+	_, err := lane.Run(context.Background(), query("COMMIT", true), (&collector{}).sink)
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonCancelled))
+	f.Expect(f.group.Server("db-a").Data()).To(BeEmpty())
+}
+
+func TestIdleTransactionIsEnded(t *testing.T) {
+	f := newFixture(t, nil)
+	r := write()
+	r.IdleInTxn = 20 * time.Millisecond
+	lane := f.open(r)
+	_, err := lane.Run(context.Background(), query("BEGIN", false), (&collector{}).sink)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Eventually(func() outcome.Reason {
+		l := lane.(*homeLane)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.ended
+	}, patience).Should(Equal(outcome.ReasonIdleInTxn))
+	_, err = lane.Run(context.Background(), query("COMMIT", true), (&collector{}).sink)
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonIdleInTxn))
+}
+
+// homeLane names the type where a variable lane hides it.
+type homeLane = lane
+
+func TestDeadlineCancelsAtServer(t *testing.T) {
+	f := newFixture(t, nil)
+	r := read("db-b")
+	f.open(read("db-b")).Close()
+	r.Timeout = 100 * time.Millisecond
+	c, result, err := f.run(r, query("SELECT pg_sleep(30)", false))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result.Failed).To(BeTrue())
+	f.Expect(c.types()).To(HaveSuffix("E"))
+	f.Expect(f.group.Server("db-b").Stats().Cancels).To(Equal(int64(1)))
+}
+
+func TestCallerGoneCancelsAtServer(t *testing.T) {
+	f := newFixture(t, nil)
+	lane := f.open(read("db-b"))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = lane.Run(ctx, query("SELECT pg_sleep(30)", false), (&collector{}).sink)
+	}()
+	f.Eventually(func() int { return f.group.Seen("pg_sleep") + int(f.group.Server("db-b").Stats().MaxConcurrent) }, patience).Should(BeNumerically(">", 0))
+	cancel()
+	f.Eventually(done, patience).Should(BeClosed())
+	lane.Close()
+}
+
+func TestUnconfirmedWriteIsUnknown(t *testing.T) {
+	f := newFixture(t, nil)
+	f.authority.refuses.Store(true)
+	c, _, err := f.run(write(), query(insert("a"), true))
+	f.Expect(reasonOf(err)).To(Equal("unknown:" + outcome.ReasonUnconfirmed))
+	f.Expect(c.types()).To(BeEmpty())
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	f := newFixture(t, func(o *Options) {
+		o.Pool.ProbeTimeout, o.StatusTimeout = 100*time.Millisecond, 100*time.Millisecond
+		o.CancelGrace = 100 * time.Millisecond
+	})
+	_, _, err := f.run(read("db-b"), query(selectA, false))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.group.Server("db-b").Silence()
+	f.Eventually(func() error {
+		r := read("db-b")
+		r.Timeout = 200 * time.Millisecond
+		lane, err := f.manager.Open(context.Background(), r)
+		if err != nil {
+			return err
+		}
+		_, err = lane.Run(context.Background(), query(selectA, false), (&collector{}).sink)
+		return err
+	}, patience).Should(Succeed())
+}
+
+func TestBrokenCommitsAreSettled(t *testing.T) {
+	f := newFixture(t, nil)
+	f.group.SetCommitCuts(0.5)
+	const writes = 60
+	acknowledged, notRun, unknown := 0, 0, 0
+	for n := range writes {
+		key := fmt.Sprint("k", n)
+		lane := f.open(write())
+		c := &collector{}
+		var err error
+		if n%2 == 0 {
+			_, err = lane.Run(context.Background(), query(insert(key), true), c.sink)
+		} else {
+			_, err = lane.Run(context.Background(), query("BEGIN", false), c.sink)
+			f.Expect(err).NotTo(HaveOccurred())
+			_, err = lane.Run(context.Background(), query(insert(key), false), c.sink)
+			f.Expect(err).NotTo(HaveOccurred())
+			_, err = lane.Run(context.Background(), query("COMMIT", true), c.sink)
+		}
+		lane.Close()
+		_, there := f.group.Server("db-a").Data()[key]
+		switch {
+		case err == nil:
+			acknowledged++
+			f.Expect(there).To(BeTrue(), key)
+			f.Expect(c.types()).To(HaveSuffix("C"))
+		case errors.As(err, new(*outcome.NotRunError)):
+			notRun++
+			f.Expect(there).To(BeFalse(), key)
+		default:
+			unknown++
+		}
+	}
+	f.Expect(f.group.Server("db-a").Stats().CommitCuts).To(BeNumerically(">", 10))
+	f.Expect(unknown).To(BeZero())
+	f.Expect(notRun).To(BeNumerically(">", 0))
+	f.Expect(acknowledged).To(BeNumerically(">", writes/2))
+}
+
+func TestPositionIsCoalesced(t *testing.T) {
+	f := newFixture(t, nil)
+	f.open(read("db-a")).Close()
+	var done sync.WaitGroup
+	for range 50 {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			_, err := f.manager.Position(context.Background(), "db-a")
+			f.Expect(err).NotTo(HaveOccurred())
+		}()
+	}
+	done.Wait()
+	f.authority.held.Store(false)
+	f.authority.refuses.Store(true)
+	_, err := f.manager.Position(context.Background(), "db-a")
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonMarkUnknown))
+	_, err = f.manager.Position(context.Background(), "db-b")
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonNoPrimary))
+}
+
+func TestFenceStopsWrites(t *testing.T) {
+	f := newFixture(t, nil)
+	f.open(write()).Close()
+	status, err := f.manager.Admin(context.Background(), txn.AdminRequest{Server: "db-a", Op: txn.AdminFence, Term: 2})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(status.Fence).To(Equal(uint64(2)))
+	_, err = f.manager.Open(context.Background(), write())
+	f.Expect(reasonOf(err)).To(Equal(outcome.ReasonReplaced))
+	_, err = f.manager.Admin(context.Background(), txn.AdminRequest{Server: "db-b", Op: txn.AdminPromote, Term: 9})
+	f.Expect(errors.As(err, new(*outcome.FailedError))).To(BeTrue())
+}
+
+func TestHomeMoves(t *testing.T) {
+	f := newFixture(t, nil)
+	lane := f.open(write())
+	_, err := lane.Run(context.Background(), query("BEGIN", false), (&collector{}).sink)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.publisher.Publish(f.snapshot("other"))
+	f.Eventually(func() outcome.Reason {
+		_, err := f.manager.Open(context.Background(), write())
+		return reasonOf(err)
+	}, patience).Should(Equal(outcome.ReasonNotHome))
+	for _, sql := range []string{insert("a"), "COMMIT"} {
+		_, err = lane.Run(context.Background(), query(sql, sql == "COMMIT"), (&collector{}).sink)
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	f.Eventually(func() int64 { return f.group.Server("db-a").Stats().OpenConns }, patience).Should(BeZero())
+}
+
+func TestStoppedServerRefusesQuicklyAndRecovers(t *testing.T) {
+	f := newFixture(t, nil)
+	f.open(read("db-b")).Close()
+	f.group.Server("db-b").Stop()
+	f.Eventually(func() outcome.Reason {
+		lane, err := f.manager.Open(context.Background(), read("db-b"))
+		if err == nil {
+			lane.Close()
+		}
+		return reasonOf(err)
+	}, patience).Should(Equal(outcome.ReasonConnect))
+	f.Eventually(func() string {
+		o, _ := f.observed.Load("db-b")
+		return o.(reducer.ServerObserved).Err
+	}, patience).Should(Equal(backend.CauseRefused))
+	f.Expect(f.group.Server("db-b").Restart()).To(Succeed())
+	f.open(read("db-b")).Close()
+}
+
+// TestConcurrentTransactionsKeepApart runs many transactions at once over few
+// connections and checks that each one reads what it wrote itself.
+func TestConcurrentTransactionsKeepApart(t *testing.T) {
+	f := newFixture(t, nil)
+	f.open(write()).Close()
+	const callers, rounds = 40, 5
+	var done sync.WaitGroup
+	for n := range callers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for round := range rounds {
+				f.transaction(fmt.Sprintf("key-%d-%d", n, round))
+			}
+		}()
+	}
+	done.Wait()
+	f.Expect(f.group.Server("db-a").Data()).To(HaveLen(callers * rounds))
+	stats := f.group.Server("db-a").Stats()
+	f.Expect(stats.MaxConns).To(BeNumerically("<=", testConnections))
+	f.Expect(stats.RefusedConns).To(BeZero())
+}
+
+func (f *fixture) transaction(key string) {
+	lane := f.open(write())
+	defer lane.Close()
+	for _, sql := range []string{"BEGIN", insert(key), "SELECT value FROM kv WHERE key = '" + key + "'", "COMMIT"} {
+		c := &collector{}
+		_, err := lane.Run(context.Background(), query(sql, sql == "COMMIT"), c.sink)
+		f.Expect(err).NotTo(HaveOccurred())
+		if sql[0] == 'S' {
+			f.Expect(c.value()).To(Equal("v"))
+		}
+	}
+}
+
+func TestCutFrontendMessageIsRefused(t *testing.T) {
+	f := newFixture(t, nil)
+	message := binary.BigEndian.AppendUint32([]byte{'Q'}, 100)
+	_, _, err := f.run(read("db-b"), txn.Batch{Messages: message})
+	f.Expect(errors.As(err, new(*backend.ProtocolError))).To(BeTrue())
+}
--- a/internal/home/status.go
+++ b/internal/home/status.go
@@ -131,9 +131,7 @@
 		failed.Reachable = false
 		l.current.Store(&failed)
 		observed.Status = topology.ServerStatus{Server: l.s.id, ObservedAt: observed.Now}
-		if observed.Err == backend.CauseTimeout {
-			l.s.pool.Suspect()
-		}
+		l.s.pool.Suspect()
 	} else {
 		l.offer(status)
 	}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -12,13 +12,13 @@
 	*backend.Conn
 	Statements *Statements
 	settings   string
-	lastUsed   time.Time // answered for the last time
+	answered   time.Time // answered for the last time
 	lastWork   time.Time // given to work for the last time
 }
 
 func newConn(c *backend.Conn, maxStatements int) *Conn {
 	now := time.Now()
-	return &Conn{Conn: c, Statements: newStatements(maxStatements), lastUsed: now, lastWork: now}
+	return &Conn{Conn: c, Statements: newStatements(maxStatements), answered: now, lastWork: now}
 }
 
 // Settings returns the key of the session settings in force.
@@ -27,6 +27,9 @@
 // SetSettings notes the key of the session settings in force.
 func (c *Conn) SetSettings(key string) { c.settings = key }
 
+// Answered notes that the server has answered.
+func (c *Conn) Answered() { c.answered = time.Now() }
+
 // Statements holds the names of the prepared statements of one connection, the
 // least recently used first to go.
 type Statements struct {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -254,7 +254,6 @@
 // Put gives a connection back. It must have no answer outstanding and no open
 // transaction.
 func (p *Pool) Put(c *Conn) {
-	c.lastUsed = time.Now()
 	p.mu.Lock()
 	if p.closed || p.live > p.lowered {
 		p.live--
@@ -285,7 +284,7 @@
 func (p *Pool) Suspect() {
 	p.mu.Lock()
 	for _, c := range p.idle {
-		c.lastUsed = time.Time{}
+		c.answered = time.Time{}
 	}
 	p.mu.Unlock()
 	p.poke()
@@ -436,7 +435,7 @@
 	var due []*Conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.lastUsed) > p.options.ProbeAfter {
+		if now.Sub(c.answered) > p.options.ProbeAfter {
 			due = append(due, c)
 		} else {
 			kept = append(kept, c)
@@ -457,7 +456,7 @@
 		p.Discard(c)
 		return
 	}
-	c.SetDeadline(time.Time{})
+	c.Answered()
 	p.Put(c)
 }
 
