Add the gateway, its routing and the text form of marks

Callers reach the fleet through the gateway: PostgreSQL protocol 3, sessions, transactions as lanes, marks, retries of what provably did not run, drain and cancel. Tests use an in-memory home.

--- /dev/null
+++ b/internal/gateway/auth.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	mechanism = "SCRAM-SHA-256"
+	saltBytes = 16
+)
+
+// authenticator checks passwords by SCRAM-SHA-256. Without users it trusts all.
+type authenticator struct {
+	credentials map[string]scram.StoredCredentials
+	decoyKey    []byte
+	iterations  int
+	server      *scram.Server
+}
+
+// UserError reports a user whose password cannot be prepared for SCRAM.
+type UserError struct {
+	User  string
+	Cause error
+}
+
+func (e *UserError) Error() string { return fmt.Sprintf("password of user %q: %v", e.User, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UserError) Unwrap() error { return e.Cause }
+
+func newAuthenticator(o Options) *authenticator {
+	a := &authenticator{
+		credentials: make(map[string]scram.StoredCredentials, len(o.Users)),
+		decoyKey:    make([]byte, saltBytes),
+		iterations:  o.SCRAMIterations,
+	}
+	_, _ = rand.Read(a.decoyKey)
+	for user, password := range o.Users {
+		if c, err := a.store(user, password); err == nil {
+			a.credentials[user] = c
+		}
+	}
+	return a
+}
+
+// CheckUsers returns the first user whose password cannot be used, as a *UserError.
+func CheckUsers(users map[string]string) error {
+	for user, password := range users {
+		if _, err := scram.SHA256.NewClient(user, password, ""); err != nil {
+			return &UserError{User: user, Cause: err}
+		}
+	}
+	return nil
+}
+
+func (a *authenticator) store(user, password string) (scram.StoredCredentials, error) {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt)
+	client, err := scram.SHA256.NewClient(user, password, "")
+	if err != nil {
+		return scram.StoredCredentials{}, &UserError{User: user, Cause: err}
+	}
+	return client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: a.iterations})
+}
+
+// lookup returns a user's credentials. An unknown user gets credentials that no
+// password fits, so that the conversation does not tell who exists.
+func (a *authenticator) lookup(user string) scram.StoredCredentials {
+	if c, ok := a.credentials[user]; ok {
+		return c
+	}
+	derive := func(label string) []byte {
+		h := hmac.New(sha256.New, a.decoyKey)
+		h.Write([]byte(label + user))
+		return h.Sum(nil)
+	}
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(derive("salt")[:saltBytes]), Iters: a.iterations},
+		StoredKey:  derive("stored"),
+		ServerKey:  derive("server"),
+	}
+}
+
+// authenticate runs the conversation for a user. Errors are *callerError or of
+// the connection.
+func (a *authenticator) authenticate(w *wire, user string) error {
+	if len(a.credentials) == 0 {
+		return nil
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return a.lookup(user), nil })
+	if err != nil {
+		return badPassword(user)
+	}
+	conversation := server.NewConversation()
+	first, err := a.askFirst(w)
+	if err != nil {
+		return err
+	}
+	answer, err := conversation.Step(string(first))
+	if err != nil {
+		return badPassword(user)
+	}
+	last, err := a.askLast(w, answer)
+	if err != nil {
+		return err
+	}
+	answer, err = conversation.Step(string(last))
+	if err != nil || !conversation.Valid() {
+		return badPassword(user)
+	}
+	w.send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	return nil
+}
+
+func (a *authenticator) askFirst(w *wire) ([]byte, error) {
+	w.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	msg, err := w.ask(pgproto3.AuthTypeSASL)
+	if err != nil {
+		return nil, err
+	}
+	initial, ok := msg.(*pgproto3.SASLInitialResponse)
+	if !ok || initial.AuthMechanism != mechanism {
+		return nil, errProtocol(&unexpectedMessageError{Want: "a " + mechanism + " response"})
+	}
+	return initial.Data, nil
+}
+
+func (a *authenticator) askLast(w *wire, challenge string) ([]byte, error) {
+	w.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	msg, err := w.ask(pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return nil, err
+	}
+	response, ok := msg.(*pgproto3.SASLResponse)
+	if !ok {
+		return nil, errProtocol(&unexpectedMessageError{Want: "a SASL response"})
+	}
+	return response.Data, nil
+}
+
+// ask sends what is pending and reads an answer of the given authentication type.
+func (w *wire) ask(authType uint32) (pgproto3.FrontendMessage, error) {
+	if err := w.flush(); err != nil {
+		return nil, err
+	}
+	w.acquireBackend()
+	if err := w.backend.SetAuthType(authType); err != nil {
+		return nil, err
+	}
+	msg, err := w.backend.Receive()
+	if err != nil && !isConnectionError(err) {
+		return nil, errProtocol(err)
+	}
+	return msg, err
+}
+
+// unexpectedMessageError reports a message that does not fit the state of the connection.
+type unexpectedMessageError struct{ Want string }
+
+func (e *unexpectedMessageError) Error() string { return "expected " + e.Want }
+
+func badPassword(user string) error {
+	return &callerError{
+		Code:    codeBadPassword,
+		Message: fmt.Sprintf("password authentication failed for user %q", user),
+		Fatal:   true,
+	}
+}
--- /dev/null
+++ b/internal/gateway/counters.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"errors"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"egretroad/internal/metrics"
+	"egretroad/internal/outcome"
+)
+
+// Bounds of the latency histograms.
+const (
+	maxLatencyMicros  = int64(time.Hour / time.Microsecond)
+	latencyPrecision  = 2 // significant digits
+	metricsGroup      = "gateway"
+	percentileMedian  = 50
+	percentileHigh    = 99
+	percentileHighest = 99.9
+)
+
+// counters are the gateway's metrics.
+type counters struct {
+	protocolErrors *expvar.Int
+	marksLost      *expvar.Int // sessions told that a write is gone
+	positions      *expvar.Int // position queries for arriving sessions
+	retries        *expvar.Int
+	budgetEmpty    *expvar.Int // retries refused by the budget
+	kinds          sync.Map    // entry name -> *kindCounters
+}
+
+// kindCounters count the requests of one catalogue entry.
+type kindCounters struct {
+	offered  atomic.Int64
+	answered atomic.Int64 // a server answered, with rows or with its own error
+	unknown  atomic.Int64
+	refused  atomic.Int64 // by the gateway itself
+	primary  atomic.Int64 // reads that the primary served
+	replica  atomic.Int64 // reads that a replica served
+
+	mu      sync.Mutex // guards the fields below
+	notRun  map[outcome.Reason]int64
+	latency *hdrhistogram.Histogram // microseconds, of answered requests
+}
+
+// KindStats are the counters of one catalogue entry.
+type KindStats struct {
+	Offered       int64                    `json:"offered"`
+	Answered      int64                    `json:"answered"`
+	Unknown       int64                    `json:"unknown"`
+	Refused       int64                    `json:"refused"`
+	NotRun        map[outcome.Reason]int64 `json:"notRun"`
+	ReadsPrimary  int64                    `json:"readsPrimary"`
+	ReadsReplica  int64                    `json:"readsReplica"`
+	LatencyP50us  int64                    `json:"latencyP50Us"`
+	LatencyP99us  int64                    `json:"latencyP99Us"`
+	LatencyP999us int64                    `json:"latencyP999Us"`
+}
+
+func newCounters(r *metrics.Registry, g *Gateway) *counters {
+	c := &counters{
+		protocolErrors: r.Int(metricsGroup, "protocol_errors"),
+		marksLost:      r.Int(metricsGroup, "marks_lost"),
+		positions:      r.Int(metricsGroup, "position_queries"),
+		retries:        r.Int(metricsGroup, "retries"),
+		budgetEmpty:    r.Int(metricsGroup, "retries_refused_by_budget"),
+	}
+	gauge := func(name string, f func() any) { r.Set(metricsGroup, name, expvar.Func(f)) }
+	gauge("sessions", func() any { return g.sessionCount() })
+	gauge("waiting", func() any { return g.waiting.Load() })
+	gauge("buffered_bytes", func() any { return g.memory.used.Load() })
+	gauge("kinds", func() any { return c.stats() })
+	return c
+}
+
+func (c *counters) kind(entry string) *kindCounters {
+	if k, ok := c.kinds.Load(entry); ok {
+		return k.(*kindCounters)
+	}
+	k, _ := c.kinds.LoadOrStore(entry, &kindCounters{
+		notRun:  map[outcome.Reason]int64{},
+		latency: hdrhistogram.New(1, maxLatencyMicros, latencyPrecision),
+	})
+	return k.(*kindCounters)
+}
+
+// stats returns the counters by entry name.
+func (c *counters) stats() map[string]KindStats {
+	all := map[string]KindStats{}
+	c.kinds.Range(func(name, k any) bool {
+		all[name.(string)] = k.(*kindCounters).stats()
+		return true
+	})
+	return all
+}
+
+func (k *kindCounters) stats() KindStats {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	notRun := make(map[outcome.Reason]int64, len(k.notRun))
+	for reason, n := range k.notRun {
+		notRun[reason] = n
+	}
+	return KindStats{
+		Offered: k.offered.Load(), Answered: k.answered.Load(), Unknown: k.unknown.Load(), Refused: k.refused.Load(),
+		NotRun: notRun, ReadsPrimary: k.primary.Load(), ReadsReplica: k.replica.Load(),
+		LatencyP50us:  k.latency.ValueAtPercentile(percentileMedian),
+		LatencyP99us:  k.latency.ValueAtPercentile(percentileHigh),
+		LatencyP999us: k.latency.ValueAtPercentile(percentileHighest),
+	}
+}
+
+// count records how a request ended.
+func (s *session) count(r *request, err error) {
+	k := s.gateway.counters.kind(r.entry.Name)
+	k.offered.Add(1)
+	var notRun *outcome.NotRunError
+	var unknown *outcome.UnknownError
+	switch {
+	case err == nil:
+		k.answer(r)
+	case errors.As(err, &notRun):
+		k.mu.Lock()
+		k.notRun[notRun.Reason]++
+		k.mu.Unlock()
+	case errors.As(err, &unknown):
+		k.unknown.Add(1)
+	default:
+		k.refused.Add(1)
+	}
+}
+
+func (k *kindCounters) answer(r *request) {
+	k.answered.Add(1)
+	if r.entry.Access == "read" && r.server != "" {
+		if r.primary {
+			k.primary.Add(1)
+		} else {
+			k.replica.Add(1)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// Values past the highest are not recorded; deadlines lie below it.
+	_ = k.latency.RecordValue(time.Since(r.began).Microseconds())
+}
+
+// Dump is the gateway's state for operators.
+type Dump struct {
+	Sessions      int                   `json:"sessions"`
+	InProgress    int                   `json:"inProgress"` // sessions with a request in progress
+	Draining      bool                  `json:"draining"`
+	Waiting       int64                 `json:"waiting"`
+	BufferedBytes int64                 `json:"bufferedBytes"`
+	Kinds         map[string]KindStats  `json:"kinds"`
+	Servers       map[string]ServerDump `json:"servers"`
+}
+
+// ServerDump is what the gateway has learned about one server.
+type ServerDump struct {
+	Role       string  `json:"role"`
+	Term       uint64  `json:"term"`
+	Position   uint64  `json:"position"`
+	LagMS      float64 `json:"lagMs"`
+	AgeMS      float64 `json:"ageMs"` // of the status
+	InRotation bool    `json:"inRotation"`
+	Refusals   int     `json:"refusals"`
+}
+
+// Dump returns the gateway's state, to be written as JSON.
+func (g *Gateway) Dump() any {
+	return Dump{
+		Sessions: g.sessionCount(), InProgress: g.busyCount(), Draining: g.draining.Load(),
+		Waiting: g.waiting.Load(), BufferedBytes: g.memory.used.Load(),
+		Kinds: g.counters.stats(), Servers: g.dumpServers(),
+	}
+}
+
+func (g *Gateway) busyCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	busy := 0
+	for _, s := range g.sessions {
+		s.mu.Lock()
+		if s.inProgress {
+			busy++
+		}
+		s.mu.Unlock()
+	}
+	return busy
+}
+
+func (g *Gateway) dumpServers() map[string]ServerDump {
+	g.routes.Lock()
+	defer g.routes.Unlock()
+	now := g.deps.Now()
+	servers := map[string]ServerDump{}
+	for id, s := range g.table.Servers() {
+		servers[id] = ServerDump{
+			Role: string(s.Status.Role), Term: s.Status.Term, Position: s.Status.Position,
+			LagMS: millis(s.Status.Lag), AgeMS: millis(now - s.LearnedAt), InRotation: !s.Out, Refusals: s.Refusals,
+		}
+	}
+	return servers
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/clock"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
+	"egretroad/internal/topology"
+)
+
+// fixture is a gateway on loopback in front of a fake home.
+type fixture struct {
+	*GomegaWithT
+	t       *testing.T
+	home    *fakeHome
+	gateway *Gateway
+	source  *topology.Publisher
+	port    int
+}
+
+func testSnapshot() *topology.Snapshot {
+	servers := []topology.Server{
+		{ID: "orders1-a", DataCentre: "salish-a", Region: "salish", State: topology.ServerActive},
+		{ID: "orders1-b", DataCentre: "willamette-a", Region: "willamette", State: topology.ServerActive},
+		{ID: "orders1-c", DataCentre: "inland-a", Region: "inland", State: topology.ServerActive},
+	}
+	entries := []catalogue.Entry{
+		{Name: "orders", Kind: "orders", Owner: "shop", Database: "orders1", Default: true, Rank: 1, Access: catalogue.AccessWrite, Deadline: 5000},
+		{Name: "stock", Kind: "stock", Owner: "shop", Database: "orders1", Rank: 2, Access: catalogue.AccessRead, Repeatable: true, Deadline: 5000},
+		{Name: "reports", Kind: "reports", Owner: "shop", Database: "orders1", Rank: 3, Access: catalogue.AccessRead, MaxAge: 30_000, Deadline: 5000},
+		{Name: "quick", Kind: "quick", Owner: "shop", Database: "orders1", Rank: 1, Access: catalogue.AccessWrite, Deadline: 100},
+	}
+	return &topology.Snapshot{
+		Self: "vm1", Revision: 1, Catalogue: catalogue.New(entries),
+		Groups: map[string]*topology.Group{"orders1": {Database: "orders1", Term: 1, Primary: "orders1-a", Servers: servers}},
+		VMs:    map[string]topology.VM{"vm1": {ID: "vm1", DataCentre: "willamette-a", Region: "willamette"}},
+	}
+}
+
+func newFixture(t *testing.T, change ...func(*Options)) *fixture {
+	f := &fixture{GomegaWithT: NewWithT(t), t: t, home: newFakeHome(), source: topology.NewPublisher(testSnapshot())}
+	o := DefaultOptions()
+	o.FleetKey = []byte("fleet key")
+	for _, c := range change {
+		c(&o)
+	}
+	f.gateway = New(o, Deps{
+		Source: f.source, Home: f.home, Log: eventlog.Discard(), Metrics: metrics.NewRegistry(), Now: clock.Boottime,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.port = l.Addr().(*net.TCPAddr).Port
+	served := make(chan error, 1)
+	go func() { served <- f.gateway.Serve(l) }()
+	t.Cleanup(func() {
+		f.gateway.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+func (f *fixture) dsn(extra string) string {
+	return fmt.Sprintf("postgres://shop@127.0.0.1:%d/orders1?sslmode=disable%s", f.port, extra)
+}
+
+func (f *fixture) connect(extra string) *pgx.Conn {
+	f.t.Helper()
+	conn, err := pgx.Connect(f.context(), f.dsn(extra))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// context ends long after any step of a test should.
+func (f *fixture) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	f.t.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/internal/gateway/setting.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"strings"
+
+	"egretroad/internal/txn"
+)
+
+// Names of the proxy's own settings.
+const (
+	settingPrefix = "egretroad."
+	settingWork   = "egretroad.work"
+	settingMark   = "egretroad.mark"
+	settingServer = "egretroad.server"
+	settingApp    = "application_name"
+)
+
+// setCommand is a parsed SET or RESET.
+type setCommand struct {
+	Name    string
+	Value   string
+	Local   bool // SET LOCAL
+	Default bool // SET … TO DEFAULT, or RESET
+	All     bool // RESET ALL
+	// Transaction says that the statement only concerns the transaction in
+	// progress: SET TRANSACTION, SET CONSTRAINTS.
+	Transaction bool
+}
+
+// parseSet reads SET [SESSION|LOCAL] name {TO|=} value and RESET name. It is
+// false for other forms.
+func parseSet(sql string) (setCommand, bool) {
+	var c setCommand
+	first, rest := keyword(sql)
+	word, after := keyword(rest)
+	if first == "RESET" {
+		name, ok := settingName(rest)
+		c.Default = true
+		c.All = word == "ALL"
+		c.Name = name
+		return c, ok
+	}
+	switch word {
+	case "TRANSACTION", "CONSTRAINTS":
+		c.Transaction = true
+		return c, true
+	case "LOCAL":
+		c.Local = true
+		rest = after
+	case "SESSION":
+		rest = after
+	}
+	word, after = keyword(rest)
+	switch word {
+	case "TIME":
+		_, after = keyword(after)
+		c.Name = "timezone"
+		return c.withValue(after)
+	case "NAMES":
+		c.Name = "client_encoding"
+		return c.withValue(after)
+	case "TRANSACTION":
+		c.Transaction = true
+		return c, true
+	}
+	equals := assignment(rest)
+	if equals.length == 0 {
+		return c, false
+	}
+	name, ok := settingName(rest[:equals.at])
+	if !ok {
+		return c, false
+	}
+	c.Name = name
+	return c.withValue(rest[equals.at+equals.length:])
+}
+
+// position of the "=" or TO of an assignment.
+type position struct{ at, length int }
+
+func assignment(s string) position {
+	if i := strings.IndexByte(s, '='); i >= 0 {
+		if !strings.Contains(strings.ToUpper(s[:i]), " TO ") {
+			return position{i, 1}
+		}
+	}
+	if i := strings.Index(strings.ToUpper(s), " TO "); i >= 0 {
+		return position{i, len(" TO ")}
+	}
+	return position{}
+}
+
+// settingName checks and folds a possibly quoted name with dots.
+func settingName(s string) (string, bool) {
+	name := strings.ToLower(strings.ReplaceAll(trim(s), `"`, ""))
+	if name == "" || len(name) > 63 {
+		return "", false
+	}
+	for _, r := range name {
+		if !isWord(r) && r != '.' {
+			return "", false
+		}
+	}
+	return name, true
+}
+
+func (c setCommand) withValue(s string) (setCommand, bool) {
+	s = trim(s)
+	if s == "" {
+		return c, false
+	}
+	if strings.EqualFold(s, "DEFAULT") {
+		c.Default = true
+		return c, true
+	}
+	value, ok := settingValue(s)
+	c.Value = value
+	return c, ok
+}
+
+// settingValue returns the text of a literal, or of a list of literals.
+func settingValue(s string) (string, bool) {
+	if s[0] != '\'' {
+		return s, !strings.ContainsAny(s, "'\x00")
+	}
+	if quotedEnd(s) != len(s) {
+		// A list such as 'a', 'b': kept as the server's own list form.
+		return strings.ReplaceAll(s, "'", `"`), !strings.Contains(s, "''") && !strings.Contains(s, `"`)
+	}
+	return strings.ReplaceAll(s[1:len(s)-1], "''", "'"), true
+}
+
+// quotedEnd returns the length of the literal at the start of s, with doubled quotes.
+func quotedEnd(s string) int {
+	end := 0
+	for end < len(s) && s[end] == '\'' {
+		end += quotedLength(s[end:], '\'', false)
+	}
+	return end
+}
+
+// trim removes white space, comments at the start and a final semicolon.
+func trim(s string) string {
+	s = strings.TrimSpace(skipSpace(s))
+	return strings.TrimSpace(strings.TrimRight(s, "; \t\r\n"))
+}
+
+// isLocalSetting reports whether the proxy keeps the setting itself.
+func isLocalSetting(name string) bool {
+	return strings.HasPrefix(name, settingPrefix) || name == settingApp
+}
+
+// withSetting returns settings with one name set. The result is a new slice,
+// sorted by name, so that equal sessions have equal settings.
+func withSetting(settings []txn.Setting, name, value string) []txn.Setting {
+	changed := make([]txn.Setting, 0, len(settings)+1)
+	placed := false
+	for _, s := range settings {
+		if !placed && s.Name >= name {
+			changed = append(changed, txn.Setting{Name: name, Value: value})
+			placed = true
+		}
+		if s.Name != name {
+			changed = append(changed, s)
+		}
+	}
+	if !placed {
+		changed = append(changed, txn.Setting{Name: name, Value: value})
+	}
+	return changed
+}
+
+// withoutSetting returns settings without one name.
+func withoutSetting(settings []txn.Setting, name string) []txn.Setting {
+	var changed []txn.Setting
+	for _, s := range settings {
+		if s.Name != name {
+			changed = append(changed, s)
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/gateway/sql.go
@@ -0,0 +1,309 @@
+package gateway
+
+import "strings"
+
+// statementKind is the class of a statement by its first keywords.
+type statementKind int
+
+const (
+	kindOther statementKind = iota
+	kindEmpty
+	kindRead     // surely reads, unless a function of it writes
+	kindBegin    // opens a transaction block
+	kindCommit   // ends one and keeps its writes
+	kindRollback // ends one and drops its writes
+	kindSavepoint
+	kindSet
+	kindReset
+	kindShow
+	kindDiscardAll // DISCARD ALL
+	kindDeallocAll // DEALLOCATE ALL
+	kindRefused    // would leave state on a pooled connection
+)
+
+// statement is one classified SQL statement.
+type statement struct {
+	SQL    string
+	Kind   statementKind
+	Refuse *refusal   // set for kindRefused
+	set    setCommand // of kindSet and kindReset, when setOK
+	setOK  bool
+	show   string // of kindShow: the setting's name
+}
+
+// refusal says why a statement is not supported and what to do instead.
+type refusal struct {
+	What string
+	Hint string
+}
+
+var (
+	refuseCopy     = &refusal{"COPY", "Use INSERT with several rows, or connect to the backend server."}
+	refuseListen   = &refusal{"LISTEN", "Notifications need a connection of their own; connect to the backend server."}
+	refuseTemp     = &refusal{"a temporary table", "Connections are shared between sessions; use a common table expression or an ordinary table."}
+	refuseRole     = &refusal{"changing the role of a session", "Connect as the user that the work needs."}
+	refusePrepare  = &refusal{"PREPARE, EXECUTE or DEALLOCATE by SQL", "Use the protocol's prepared statements, as client libraries do."}
+	refuseTwoPhase = &refusal{"two-phase commit", "Use one transaction on one database."}
+	refuseHold     = &refusal{"a cursor WITH HOLD", "Use the cursor inside one transaction."}
+	refuseLock     = &refusal{"a session-level advisory lock", "Use pg_advisory_xact_lock, which ends with the transaction."}
+	refuseLoad     = &refusal{"LOAD", "Load libraries on the backend server."}
+	refuseDiscard  = &refusal{"DISCARD of a part", "Use DISCARD ALL."}
+	refuseChars    = &refusal{"SET SESSION CHARACTERISTICS", "Name the transaction mode in BEGIN, or set default_transaction_isolation."}
+	refuseChain    = &refusal{"AND CHAIN", "Send BEGIN for the next transaction."}
+	refuseMulti    = &refusal{"a session statement among several in one query", "Send it as a query of its own."}
+)
+
+var keywordKinds = map[string]statementKind{
+	"SELECT": kindRead, "VALUES": kindRead, "TABLE": kindRead, "EXPLAIN": kindRead, "FETCH": kindRead,
+	"MOVE": kindRead, "CLOSE": kindRead, "DECLARE": kindRead, "WITH": kindRead,
+	"BEGIN": kindBegin, "START": kindBegin, "COMMIT": kindCommit, "END": kindCommit,
+	"ROLLBACK": kindRollback, "ABORT": kindRollback, "SAVEPOINT": kindSavepoint, "RELEASE": kindSavepoint,
+	"SET": kindSet, "RESET": kindReset, "SHOW": kindShow,
+}
+
+var keywordRefusals = map[string]*refusal{
+	"COPY": refuseCopy, "LISTEN": refuseListen, "UNLISTEN": refuseListen, "EXECUTE": refusePrepare,
+	"DEALLOCATE": refusePrepare, "LOAD": refuseLoad, "DISCARD": refuseDiscard,
+}
+
+// sessionLocks are the functions that take advisory locks past a transaction.
+var sessionLocks = []string{"pg_advisory_lock", "pg_try_advisory_lock"}
+
+// classify reads the first keywords of one statement.
+func classify(sql string) statement {
+	st := statement{SQL: sql}
+	first, rest := keyword(sql)
+	if first == "" {
+		if strings.TrimLeft(skipSpace(sql), ";") == "" {
+			st.Kind = kindEmpty
+		}
+		return st
+	}
+	st.Kind = keywordKinds[first]
+	st.Refuse = keywordRefusals[first]
+	second, third := "", ""
+	switch first {
+	case "SELECT", "WITH", "VALUES", "EXPLAIN":
+		st.Refuse = refuseLocks(sql)
+		if first != "SELECT" && writesInside(rest) {
+			st.Kind = kindOther
+		}
+	case "CREATE", "PREPARE", "COMMIT", "ROLLBACK", "DECLARE", "DEALLOCATE", "DISCARD", "SET", "RESET":
+		second, rest = keyword(rest)
+		third, _ = keyword(rest)
+	}
+	switch {
+	case first == "PREPARE" && second == "TRANSACTION", second == "PREPARED" && first != "CREATE":
+		st.Refuse = refuseTwoPhase
+	case first == "PREPARE":
+		st.Refuse = refusePrepare
+	case first == "CREATE" && (isTemp(second) || isTemp(third)):
+		st.Refuse = refuseTemp
+	case first == "DECLARE" && strings.Contains(strings.ToUpper(sql), "WITH HOLD"):
+		st.Refuse = refuseHold
+	case first == "DEALLOCATE" && (second == "ALL" || second == "PREPARE" && third == "ALL"):
+		st.Kind, st.Refuse = kindDeallocAll, nil
+	case first == "DISCARD" && second == "ALL":
+		st.Kind, st.Refuse = kindDiscardAll, nil
+	case first == "ROLLBACK" && isSavepointTarget(rest, second):
+		st.Kind = kindSavepoint
+	case (st.Kind == kindCommit || st.Kind == kindRollback) && chains(sql):
+		st.Refuse = refuseChain
+	case (first == "SET" || first == "RESET") && isRole(second, third):
+		st.Refuse = refuseRole
+	case first == "SET" && second == "SESSION" && third == "CHARACTERISTICS":
+		st.Refuse = refuseChars
+	}
+	if st.Refuse != nil {
+		st.Kind = kindRefused
+	}
+	st.readSetting(rest)
+	return st
+}
+
+// readSetting reads the setting of SET, RESET and SHOW.
+func (s *statement) readSetting(rest string) {
+	switch s.Kind {
+	case kindSet, kindReset:
+		s.set, s.setOK = parseSet(s.SQL)
+	case kindShow:
+		s.show, _ = settingName(rest)
+	}
+}
+
+func isTemp(word string) bool { return word == "TEMP" || word == "TEMPORARY" }
+
+func isRole(second, third string) bool {
+	return second == "ROLE" || second == "SESSION_AUTHORIZATION" || third == "ROLE" ||
+		(second == "SESSION" && third == "AUTHORIZATION")
+}
+
+// isSavepointTarget recognises ROLLBACK [WORK | TRANSACTION] TO.
+func isSavepointTarget(rest, second string) bool {
+	if second == "TO" {
+		return true
+	}
+	third, _ := keyword(rest)
+	return (second == "WORK" || second == "TRANSACTION") && third == "TO"
+}
+
+// chains recognises AND CHAIN without NO.
+func chains(sql string) bool {
+	words := strings.Fields(strings.ToUpper(trim(sql)))
+	n := len(words)
+	return n > 2 && words[n-1] == "CHAIN" && words[n-2] == "AND"
+}
+
+func refuseLocks(sql string) *refusal {
+	if len(sql) < len(sessionLocks[0]) || !strings.Contains(sql, "advisory_lock") {
+		return nil
+	}
+	lower := strings.ToLower(sql)
+	for _, f := range sessionLocks {
+		if strings.Contains(lower, f) {
+			return refuseLock
+		}
+	}
+	return nil
+}
+
+// writesInside reports whether a statement that begins like a read names a
+// statement that writes, as a common table expression or EXPLAIN ANALYZE may.
+func writesInside(sql string) bool {
+	for _, word := range strings.FieldsFunc(strings.ToUpper(sql), func(r rune) bool { return !isWord(r) }) {
+		switch word {
+		case "INSERT", "UPDATE", "DELETE", "MERGE":
+			return true
+		}
+	}
+	return false
+}
+
+// endsTransaction reports whether the statement may commit an open transaction.
+func (s statement) endsTransaction() bool { return s.Kind == kindCommit }
+
+// keyword returns the first word in upper case and the rest after it.
+func keyword(sql string) (word, rest string) {
+	sql = skipSpace(sql)
+	for i, r := range sql {
+		if !isWord(r) {
+			return strings.ToUpper(sql[:i]), sql[i:]
+		}
+	}
+	return strings.ToUpper(sql), ""
+}
+
+func isWord(r rune) bool {
+	return r == '_' || r >= '0' && r <= '9' || r >= 'A' && r <= 'Z' || r >= 'a' && r <= 'z' || r >= 0x80
+}
+
+// skipSpace skips white space and comments.
+func skipSpace(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n\f\v")
+		n := commentLength(sql)
+		if n == 0 {
+			return sql
+		}
+		sql = sql[n:]
+	}
+}
+
+// commentLength returns the length of the comment at the start of sql, or 0.
+func commentLength(sql string) int {
+	if strings.HasPrefix(sql, "--") {
+		if end := strings.IndexByte(sql, '\n'); end >= 0 {
+			return end + 1
+		}
+		return len(sql)
+	}
+	if !strings.HasPrefix(sql, "/*") {
+		return 0
+	}
+	depth := 1
+	for i := 2; i+1 < len(sql); i++ {
+		switch sql[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+			if depth == 0 {
+				return i + 1
+			}
+		}
+	}
+	return len(sql)
+}
+
+// splitStatements separates the statements of a simple query at the semicolons
+// outside literals and comments. Empty ones are left out.
+func splitStatements(sql string) []string {
+	if end := strings.IndexByte(sql, ';'); end < 0 || skipSpace(sql[end+1:]) == "" {
+		return []string{sql}
+	}
+	var parts []string
+	add := func(part string) {
+		if skipSpace(part) != "" {
+			parts = append(parts, part)
+		}
+	}
+	start := 0
+	for i := 0; i < len(sql); {
+		if sql[i] == ';' {
+			add(sql[start:i])
+			start = i + 1
+		}
+		i += max(1, tokenLength(sql, i))
+	}
+	add(sql[start:])
+	return parts
+}
+
+// tokenLength returns the length of the literal or comment at sql[i:], or 0.
+func tokenLength(sql string, i int) int {
+	switch sql[i] {
+	case '-', '/':
+		return commentLength(sql[i:])
+	case '"':
+		return quotedLength(sql[i:], '"', false)
+	case '\'':
+		escapes := i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E') && (i == 1 || !isWord(rune(sql[i-2])))
+		return quotedLength(sql[i:], '\'', escapes)
+	case '$':
+		if i > 0 && isWord(rune(sql[i-1])) {
+			return 0
+		}
+		return dollarLength(sql[i:])
+	}
+	return 0
+}
+
+func quotedLength(s string, quote byte, escapes bool) int {
+	for i := 1; i < len(s); i++ {
+		switch {
+		case escapes && s[i] == '\\':
+			i++
+		case s[i] == quote:
+			return i + 1
+		}
+	}
+	return len(s)
+}
+
+func dollarLength(s string) int {
+	end := strings.IndexByte(s[1:], '$')
+	if end < 0 || strings.ContainsFunc(s[1:1+end], func(r rune) bool { return !isWord(r) }) {
+		return 0
+	}
+	tag := s[:end+2]
+	if len(tag) > 2 && tag[1] >= '0' && tag[1] <= '9' {
+		return 0
+	}
+	closing := strings.Index(s[len(tag):], tag)
+	if closing < 0 {
+		return len(s)
+	}
+	return closing + 2*len(tag)
+}
--- /dev/null
+++ b/internal/gateway/startup.go
@@ -0,0 +1,357 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/mark"
+)
+
+// errCancelServed ends a connection that only carried a cancel request.
+var errCancelServed = &callerClosedError{}
+
+// startSession negotiates, authenticates and greets. Errors are *callerError, or
+// of the connection.
+func (g *Gateway) startSession(w *wire) (*session, error) {
+	_ = w.conn.SetReadDeadline(time.Now().Add(g.options.StartupTimeout))
+	startup, err := g.negotiate(w)
+	if err != nil {
+		return nil, err
+	}
+	if g.draining.Load() {
+		return nil, errStarting
+	}
+	s, err := g.newSession(w, startup)
+	if err != nil {
+		return nil, err
+	}
+	// Messages have a type byte from here on.
+	w.startup = false
+	w.authenticating = true
+	if err := g.auth.authenticate(w, s.user); err != nil {
+		return nil, err
+	}
+	if err := s.checkWork(); err != nil {
+		return nil, fatal(err)
+	}
+	if err := g.register(s); err != nil {
+		return nil, err
+	}
+	s.greet(startup.ProtocolVersion, startup.Parameters)
+	if err := w.flush(); err != nil {
+		g.unregister(s)
+		return nil, err
+	}
+	w.authenticating = false
+	w.backend = nil
+	_ = w.conn.SetReadDeadline(time.Time{})
+	if g.draining.Load() {
+		w.wake()
+	}
+	return s, nil
+}
+
+// negotiate answers encryption requests and returns the startup message.
+func (g *Gateway) negotiate(w *wire) (*pgproto3.StartupMessage, error) {
+	encrypted := false
+	for range 4 {
+		w.acquireBackend()
+		msg, err := w.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, startupError(err)
+		}
+		switch m := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			if secret, ok := secretOf(m.SecretKey); ok {
+				g.HandleCancel(m.ProcessID, secret)
+			}
+			return nil, errCancelServed
+		case *pgproto3.GSSEncRequest:
+			err = w.answerByte('N')
+		case *pgproto3.SSLRequest:
+			if g.options.TLS == nil || encrypted {
+				err = w.answerByte('N')
+				break
+			}
+			encrypted = true
+			err = w.startTLS(g.options.TLS)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return nil, errProtocol(&unexpectedMessageError{Want: "a startup message"})
+}
+
+func startupError(err error) error {
+	if isConnectionError(err) {
+		return err
+	}
+	return errProtocol(err)
+}
+
+// isConnectionError reports whether err comes from the connection, not from a message.
+func isConnectionError(err error) bool {
+	var ne net.Error
+	var closed *callerClosedError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
+		errors.As(err, &ne) || errors.As(err, &closed) || isSyscall(err)
+}
+
+func (w *wire) answerByte(b byte) error {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(w.gateway.options.StartupTimeout))
+	_, err := w.conn.Write([]byte{b})
+	return err
+}
+
+// startTLS accepts a TLS request. Bytes sent ahead of the handshake could come
+// from someone else, so they end the connection.
+func (w *wire) startTLS(config *tls.Config) error {
+	if w.buffered() > 0 {
+		return errProtocol(&unexpectedMessageError{Want: "a TLS handshake after the TLS request"})
+	}
+	if err := w.answerByte('S'); err != nil {
+		return err
+	}
+	conn := tls.Server(w.conn, config)
+	if err := conn.Handshake(); err != nil {
+		return err
+	}
+	w.setConn(conn)
+	return nil
+}
+
+// newSession reads the startup parameters.
+func (g *Gateway) newSession(w *wire, m *pgproto3.StartupMessage) (*session, error) {
+	var secret [4]byte
+	_, _ = rand.Read(secret[:])
+	s := &session{gateway: g, wire: w, tx: txIdle, secret: binary.BigEndian.Uint32(secret[:])}
+	s.user = strings.Clone(m.Parameters["user"])
+	s.database = strings.Clone(m.Parameters["database"])
+	if s.user == "" {
+		return nil, &callerError{Code: codeInvalidAuth, Message: "no user name in the startup message", Fatal: true}
+	}
+	if s.database == "" {
+		s.database = s.user
+	}
+	if _, ok := g.deps.Source.Snapshot().Groups[s.database]; !ok {
+		return nil, &callerError{Code: codeNoDatabase, Message: fmt.Sprintf("database %q does not exist", s.database), Fatal: true}
+	}
+	names := make([]string, 0, len(m.Parameters))
+	for name := range m.Parameters {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if err := s.startupParameter(name, m.Parameters[name]); err != nil {
+			return nil, fatal(err)
+		}
+	}
+	return s, nil
+}
+
+// startupParameter applies one parameter of the startup message.
+func (s *session) startupParameter(name, value string) error {
+	folded := strings.ToLower(name)
+	switch {
+	case folded == "user", folded == "database", strings.HasPrefix(folded, "_pq_."):
+		return nil
+	case folded == "replication":
+		if value == "" || value == "false" || value == "off" || value == "0" {
+			return nil
+		}
+		return &callerError{Code: codeUnsupported, Message: "replication connections are not supported through egretroad", Hint: "Connect to the backend server."}
+	case folded == "options":
+		return s.startupOptions(value)
+	case isLocalSetting(folded):
+		return s.setLocal(folded, strings.Clone(value))
+	case isDefaultValue(folded, value):
+		return nil
+	}
+	name, ok := settingName(name)
+	if !ok {
+		return &callerError{Code: codeUnknownSetting, Message: fmt.Sprintf("unrecognized configuration parameter %.80q", folded)}
+	}
+	if name == "client_encoding" {
+		return errEncoding(value)
+	}
+	s.settings = withSetting(s.settings, name, strings.Clone(value))
+	return nil
+}
+
+func errEncoding(value string) error {
+	return &callerError{Code: codeUnsupported, Message: fmt.Sprintf("client_encoding %.40q is not supported through egretroad", value), Hint: "Use UTF8."}
+}
+
+// isDefaultValue reports whether a parameter that client libraries send at
+// connect has the value that every connection has already.
+func isDefaultValue(name, value string) bool {
+	switch name {
+	case "client_encoding":
+		folded := strings.ReplaceAll(strings.ToLower(value), "-", "")
+		return folded == "utf8" || folded == "unicode" || folded == "auto" || folded == "" || folded == "'utf8'"
+	case "datestyle":
+		folded := strings.ReplaceAll(strings.ToLower(value), " ", "")
+		return folded == "iso" || folded == "iso,mdy"
+	case "extra_float_digits":
+		// Every value above zero selects the shortest exact output.
+		return value == "1" || value == "2" || value == "3"
+	}
+	return false
+}
+
+// startupOptions applies "-c name=value" and "--name=value" words. A backslash
+// keeps the next character.
+func (s *session) startupOptions(options string) error {
+	words := optionWords(options)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c"):
+			word = word[2:]
+		case strings.HasPrefix(word, "--"):
+			word = word[2:]
+		default:
+			return &callerError{Code: codeInvalidValue, Message: fmt.Sprintf("unsupported word in options: %.80q", word), Hint: "Use options=-c name=value."}
+		}
+		name, value, ok := strings.Cut(word, "=")
+		if !ok || strings.EqualFold(name, "options") {
+			return &callerError{Code: codeInvalidValue, Message: fmt.Sprintf("invalid word in options: %.80q", word), Hint: "Use options=-c name=value."}
+		}
+		if err := s.startupParameter(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func optionWords(options string) []string {
+	var words []string
+	var word strings.Builder
+	escaped, started := false, false
+	for _, r := range options {
+		switch {
+		case escaped:
+			word.WriteRune(r)
+			escaped, started = false, true
+		case r == '\\':
+			escaped = true
+		case r == ' ' || r == '\t' || r == '\n':
+			if started {
+				words = append(words, word.String())
+				word.Reset()
+				started = false
+			}
+		default:
+			word.WriteRune(r)
+			started = true
+		}
+	}
+	if started {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// greet tells the caller that it is connected.
+func (s *session) greet(version uint32, parameters map[string]string) {
+	s.negotiateVersion(version, parameters)
+	s.wire.send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", s.gateway.options.ServerVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"application_name", s.app},
+		{"DateStyle", "ISO, MDY"},
+		{"IntervalStyle", "postgres"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		s.wire.send(&pgproto3.ParameterStatus{Name: p[0], Value: s.startupValue(p[0], p[1])})
+	}
+	s.wire.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: binary.BigEndian.AppendUint32(nil, s.secret)})
+	s.wire.send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+}
+
+// negotiateVersion offers protocol 3.0 to callers that ask for more.
+func (s *session) negotiateVersion(version uint32, parameters map[string]string) {
+	var unknown []string
+	for name := range parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+		}
+	}
+	if version == pgproto3.ProtocolVersion30 && len(unknown) == 0 {
+		return
+	}
+	sort.Strings(unknown)
+	s.wire.send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown})
+}
+
+// startupValue returns a setting's value as the caller asked for it at startup.
+func (s *session) startupValue(name, value string) string {
+	for _, set := range s.settings {
+		if strings.EqualFold(set.Name, name) {
+			return set.Value
+		}
+	}
+	return value
+}
+
+// setLocal changes a setting that the proxy keeps itself.
+func (s *session) setLocal(name, value string) error {
+	switch name {
+	case settingApp:
+		if len(value) > catalogue.MaxNameBytes {
+			value = value[:catalogue.MaxNameBytes]
+		}
+		s.app = value
+		return nil
+	case settingWork:
+		s.work = value
+		s.entryCatalogue = nil
+		return nil
+	case settingMark:
+		m, err := mark.Decode(s.gateway.options.FleetKey, value, s.database)
+		if err != nil {
+			return &callerError{
+				Code: codeInvalidValue, Message: err.Error(),
+				Hint: "Pass a value that SHOW egretroad.mark returned on the same database, or leave it out.",
+			}
+		}
+		s.raiseMark(m)
+		return nil
+	}
+	return &callerError{
+		Code: codeUnknownSetting, Message: fmt.Sprintf("unrecognized configuration parameter %.80q", name),
+		Hint: "egretroad.work and egretroad.mark can be set.",
+	}
+}
+
+// fatal makes an error end the connection.
+func fatal(err error) error {
+	var c *callerError
+	if !errors.As(err, &c) {
+		return err
+	}
+	ended := *c
+	ended.Fatal = true
+	return &ended
+}
--- /dev/null
+++ b/internal/mark/mark.go
@@ -0,0 +1,85 @@
+// Package mark converts topology.Mark to and from the text form that callers
+// carry between sessions. The text is authenticated with the fleet's key, so a
+// caller can neither forge nor alter a mark.
+package mark
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	"egretroad/internal/topology"
+)
+
+// Sizes of the text form.
+const (
+	// MaxTextBytes is the longest text that Decode accepts.
+	MaxTextBytes = 256
+
+	version      = "1"
+	macBytes     = 16
+	numbersBytes = 16
+)
+
+// InvalidError reports a text that is no mark of this fleet and database.
+type InvalidError struct{ Problem string }
+
+func (e *InvalidError) Error() string { return fmt.Sprintf("invalid mark: %s", e.Problem) }
+
+// Encode returns the text form of m: a version, the position, and a code that
+// authenticates it under key. The zero mark is the empty text.
+func Encode(key []byte, m topology.Mark) string {
+	if m.IsZero() {
+		return ""
+	}
+	body := make([]byte, 0, numbersBytes+len(m.Database))
+	body = binary.BigEndian.AppendUint64(body, m.Term)
+	body = binary.BigEndian.AppendUint64(body, m.Position)
+	body = append(body, m.Database...)
+	text := base64.RawURLEncoding
+	return version + "." + text.EncodeToString(body) + "." + text.EncodeToString(code(key, body))
+}
+
+// Decode checks the text form and returns its mark, which must be of the given
+// database. The empty text is the zero mark. Errors are *InvalidError.
+func Decode(key []byte, text, database string) (topology.Mark, error) {
+	if text == "" {
+		return topology.Mark{}, nil
+	}
+	if len(text) > MaxTextBytes {
+		return topology.Mark{}, &InvalidError{Problem: fmt.Sprintf("longer than %d bytes", MaxTextBytes)}
+	}
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 || parts[0] != version {
+		return topology.Mark{}, &InvalidError{Problem: "not of the form 1.POSITION.CODE"}
+	}
+	body, errBody := base64.RawURLEncoding.Strict().DecodeString(parts[1])
+	mac, errMAC := base64.RawURLEncoding.Strict().DecodeString(parts[2])
+	if errBody != nil || errMAC != nil || len(body) <= numbersBytes {
+		return topology.Mark{}, &InvalidError{Problem: "not base64 of the right length"}
+	}
+	if subtle.ConstantTimeCompare(mac, code(key, body)) != 1 {
+		return topology.Mark{}, &InvalidError{Problem: "not issued by this fleet"}
+	}
+	m := topology.Mark{
+		Term:     binary.BigEndian.Uint64(body),
+		Position: binary.BigEndian.Uint64(body[8:]),
+		Database: string(body[numbersBytes:]),
+	}
+	if m.Database != database {
+		return topology.Mark{}, &InvalidError{Problem: fmt.Sprintf("of database %q, not %q", m.Database, database)}
+	}
+	return m, nil
+}
+
+// code authenticates body under key.
+func code(key, body []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte("egretroad.mark\x00"))
+	h.Write(body)
+	return h.Sum(nil)[:macBytes]
+}
