--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -20,7 +20,6 @@
 	credentials map[string]scram.StoredCredentials
 	decoyKey    []byte
 	iterations  int
-	server      *scram.Server
 }
 
 // UserError reports a user whose password cannot be prepared for SCRAM.
