--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -9,7 +9,7 @@
 		if i == nil {
 			return
 		}
-		if m.dropsAtHead(i) {
+		if m.tooLate(i) || m.dropsAtHead(i) {
 			m.refuse(i, outcome.ReasonDeadline, m.retryAfter(i.entry))
 			continue
 		}
@@ -17,6 +17,16 @@
 	}
 }
 
+// tooLate reports whether new work would likely be cancelled at its deadline
+// before it is done. A kind of which nothing runs is tried all the same, so that
+// its service time is measured anew.
+func (m *Machine) tooLate(i *item) bool {
+	if m.options.Policy != PolicyDeadline || i.state != stateWaitingNew || i.class.running == 0 {
+		return false
+	}
+	return i.expires-m.now < seconds(i.class.service.mean)
+}
+
 // dropsAtHead applies PolicyCoDel to new work.
 func (m *Machine) dropsAtHead(i *item) bool {
 	if m.options.Policy != PolicyCoDel || i.state != stateWaitingNew {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -23,6 +23,9 @@
 	// UnackedTimeout ends a connection whose bytes stay unacknowledged.
 	UnackedTimeout time.Duration
 	KeepAlive      time.Duration
+	// ServerIdleInTxn is the time after which the server itself ends an idle
+	// transaction, should the proxy be gone or hang.
+	ServerIdleInTxn time.Duration
 }
 
 // DefaultOptions returns the defaults.
@@ -33,6 +36,7 @@
 		ConnectTimeout:  2 * time.Second,
 		UnackedTimeout:  2 * time.Second,
 		KeepAlive:       5 * time.Second,
+		ServerIdleInTxn: time.Hour,
 	}
 }
 
@@ -90,11 +94,27 @@
 	config.Host, config.Port = host, port
 	config.User, config.Password, config.Database = opts.User, opts.Password, database
 	config.TLSConfig, config.Fallbacks = nil, nil
-	config.RuntimeParams = map[string]string{"application_name": opts.ApplicationName}
+	config.RuntimeParams = opts.runtimeParams()
 	config.DialFunc = opts.dialer().DialContext
 	return config, nil
 }
 
+// keepAliveProbes is the number of unanswered probes after which a server gives
+// up a connection to a proxy that has vanished.
+const keepAliveProbes = 3
+
+// runtimeParams are the session's defaults at the server.
+func (o Options) runtimeParams() map[string]string {
+	interval := strconv.Itoa(int(o.KeepAlive / time.Second))
+	return map[string]string{
+		"application_name":                    o.ApplicationName,
+		"idle_in_transaction_session_timeout": strconv.FormatInt(o.ServerIdleInTxn.Milliseconds(), 10),
+		"tcp_keepalives_idle":                 interval,
+		"tcp_keepalives_interval":             interval,
+		"tcp_keepalives_count":                strconv.Itoa(keepAliveProbes),
+	}
+}
+
 func splitAddr(addr string) (string, uint16, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/internal/home/answer.go
+++ b/internal/home/answer.go
@@ -1,6 +1,10 @@
 package home
 
-import "egretroad/internal/txn"
+import (
+	"time"
+
+	"egretroad/internal/txn"
+)
 
 // Sizes for passing answers on, in bytes.
 const (
@@ -25,6 +29,7 @@
 	overflow   bool // more was held than is allowed
 	prefixes   int  // hidden queries sent before the batch
 	sinkError  error
+	guard      func() *time.Timer // bounds a delivery while the server waits
 }
 
 // add appends an encoded message.
@@ -35,7 +40,7 @@
 		return
 	}
 	if len(a.buffer) >= deliverBytes {
-		a.deliver()
+		a.deliverGuarded()
 	}
 }
 
@@ -54,7 +59,7 @@
 		return
 	}
 	if !a.completed {
-		a.deliver()
+		a.deliverGuarded()
 		return
 	}
 	a.overflow = len(a.buffer) > maxHeldFactor*a.heldLimit
@@ -63,7 +68,7 @@
 // stream delivers what has come so far when that is worth a call.
 func (a *answer) stream() error {
 	if !a.hold && len(a.buffer) >= streamBytes {
-		a.deliver()
+		a.deliverGuarded()
 	}
 	if a.overflow {
 		return &HeldAnswerError{Bytes: len(a.buffer)}
@@ -71,6 +76,13 @@
 	return nil
 }
 
+// deliverGuarded delivers while more is to come from the server.
+func (a *answer) deliverGuarded() {
+	timer := a.guard()
+	a.deliver()
+	timer.Stop()
+}
+
 // deliver hands the buffer to the sink. After a failed delivery the rest of the
 // answer is read and dropped.
 func (a *answer) deliver() {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -42,7 +42,7 @@
 	return &exchange{
 		ctx: ctx, l: l, b: b, conn: l.conn, deadline: l.s.began.Add(deadline),
 		askStatus: b.MayCommit && !b.Flush && l.request.Access == catalogue.AccessWrite,
-		answer:    answer{sink: sink, heldLimit: l.s.options.HeldBytes},
+		answer:    answer{sink: sink, heldLimit: l.s.options.HeldBytes, guard: l.guard},
 	}
 }
 
@@ -425,6 +425,11 @@
 		result.Mark = mark
 	}
 	result.Status = x.l.s.status.last()
+	if result.TxStatus == 'I' {
+		// A caller that reads slowly must not keep the slot.
+		x.unwatch()
+		x.l.leaveServer()
+	}
 	if err := x.answer.flush(); err != nil {
 		return result, x.l.failed(outcome.ReasonCancelled, "the caller stopped reading", err, x.commitSent)
 	}
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -27,6 +27,8 @@
 	unsynced bool          // a batch ended with Flush and no Sync came since
 	skipping bool          // the server ignores messages until a Sync
 	xid      uint64        // transaction's ID, when it was read
+	// runDeadline is the deadline of the batch that runs, on server.now.
+	runDeadline time.Duration
 
 	mu       sync.Mutex // guards the fields below
 	conn     *pool.Conn
@@ -75,7 +77,7 @@
 	l.s.openLanes[l] = struct{}{}
 	l.s.mu.Unlock()
 	l.mu.Lock()
-	l.idle = time.AfterFunc(l.request.IdleInTxn, l.expireIdle)
+	l.idle = time.AfterFunc(min(l.request.IdleInTxn, l.s.options.FirstBatchTimeout), l.expireIdle)
 	l.mu.Unlock()
 }
 
@@ -209,6 +211,7 @@
 			return txn.Result{}, err
 		}
 	}
+	l.runDeadline = deadline
 	result, err := l.attempt(ctx, b, sink, deadline)
 	l.first = false
 	return result, err
@@ -235,6 +238,9 @@
 	l.conn = nil
 	l.suspect = false
 	l.mu.Unlock()
+	if old == nil {
+		return false
+	}
 	l.s.pool.Discard(old)
 	l.txStatus, l.skipping, l.canceled, l.xid = 'I', false, false, 0
 	return l.connect(ctx) == nil
@@ -282,6 +288,26 @@
 	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
 }
 
+// guard starts a timer that takes the connection away from a caller that does
+// not read its answer by the statement's deadline.
+func (l *lane) guard() *time.Timer {
+	left := l.s.began.Add(l.runDeadline).Add(l.s.options.CancelGrace)
+	return time.AfterFunc(time.Until(left), l.abandon)
+}
+
+// abandon closes the connection in the middle of an answer.
+func (l *lane) abandon() {
+	l.mu.Lock()
+	conn := l.conn
+	l.conn = nil
+	l.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	l.s.pool.Discard(conn)
+	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+}
+
 // clean leaves the connection without an open transaction or a cancel request
 // that could still hit the next user.
 func (l *lane) clean(conn *pool.Conn) bool {
--- a/internal/home/options.go
+++ b/internal/home/options.go
@@ -34,6 +34,8 @@
 	// DefaultTimeout and DefaultIdleInTxn hold for requests that name none.
 	DefaultTimeout   time.Duration
 	DefaultIdleInTxn time.Duration
+	// FirstBatchTimeout bounds the time from the grant of a slot to the first batch.
+	FirstBatchTimeout time.Duration
 	// CancelGrace is the time that a server has to answer a cancelled statement.
 	CancelGrace time.Duration
 	// RollbackTimeout bounds the rollback of a transaction that its caller left.
@@ -57,24 +59,25 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		Pool:             pool.DefaultOptions(),
-		Admission:        admission.DefaultOptions(),
-		StatusInterval:   200 * time.Millisecond,
-		StatusTimeout:    500 * time.Millisecond,
-		PollInterval:     3 * time.Millisecond,
-		StatusFreshness:  2 * time.Second,
-		AdminTimeout:     5 * time.Second,
-		DefaultTimeout:   30 * time.Second,
-		DefaultIdleInTxn: 30 * time.Second,
-		CancelGrace:      time.Second,
-		RollbackTimeout:  time.Second,
-		HeldBytes:        1 << 20,
-		ConfirmTimeout:   5 * time.Second,
-		Settle:           true,
-		SettleTimeout:    3 * time.Second,
-		RetryShare:       0.1,
-		RetryBurst:       10,
-		DrainTimeout:     30 * time.Second,
+		Pool:              pool.DefaultOptions(),
+		Admission:         admission.DefaultOptions(),
+		StatusInterval:    200 * time.Millisecond,
+		StatusTimeout:     500 * time.Millisecond,
+		PollInterval:      3 * time.Millisecond,
+		StatusFreshness:   2 * time.Second,
+		AdminTimeout:      5 * time.Second,
+		DefaultTimeout:    30 * time.Second,
+		DefaultIdleInTxn:  30 * time.Second,
+		FirstBatchTimeout: 2 * time.Second,
+		CancelGrace:       time.Second,
+		RollbackTimeout:   time.Second,
+		HeldBytes:         1 << 20,
+		ConfirmTimeout:    5 * time.Second,
+		Settle:            true,
+		SettleTimeout:     3 * time.Second,
+		RetryShare:        0.1,
+		RetryBurst:        10,
+		DrainTimeout:      30 * time.Second,
 	}
 }
 
