--- a/internal/admission/floors_test.go
+++ b/internal/admission/floors_test.go
@@ -170,10 +170,12 @@
 // than the others of the kind.
 func TestOwnersAndCallersShareFairly(t *testing.T) {
 	g := NewWithT(t)
-	owner := func(name string, callers int) load {
-		return load{entry: EntryConfig{Entry: name, Kind: "reads", Owner: name, Rank: catalogue.RankReads}, service: 10 * time.Millisecond, callers: callers}
+	owner := func(name string, callers int, service time.Duration) load {
+		return load{entry: EntryConfig{Entry: name, Kind: "reads", Owner: name, Rank: catalogue.RankReads}, service: service, callers: callers}
 	}
-	s := newSimulation(simulationOptions(), 3, []load{owner("flood", 50), owner("a", 1), owner("b", 2)})
+	s := newSimulation(simulationOptions(), 3, []load{
+		owner("flood", 50, 10*time.Millisecond), owner("a", 4, 40*time.Millisecond), owner("b", 8, 5*time.Millisecond),
+	})
 	s.run(20 * time.Second)
 	for n := range s.used {
 		g.Expect(s.used[n]).To(BeNumerically("~", 20*time.Second, 400*time.Millisecond), "owner %d", n)
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -16,10 +16,12 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "120", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -198,7 +200,7 @@
 // grant and every state that the machine settles in.
 func TestMachineAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := &model{config: drawConfig(t), items: map[ID]*modelItem{}}
+		o := &model{config: drawConfig(t), live: 20, items: map[ID]*modelItem{}}
 		m := New(DefaultOptions())
 		nextID := ID(0)
 		step := func(e Event) {
@@ -225,9 +227,10 @@
 			return id, o.items[id]
 		}
 		deadline := func(t *rapid.T) time.Duration {
-			return o.now + time.Duration(rapid.IntRange(1, 500).Draw(t, "deadlineMS"))*time.Millisecond
+			return o.now + time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadlineMS"))*time.Millisecond
 		}
-		t.Repeat(map[string]func(*rapid.T){
+		step(Event{Type: EventConnections, Connections: o.live})
+		actions := map[string]func(*rapid.T){
 			"offer": func(t *rapid.T) {
 				nextID++
 				o.sequence++
@@ -263,7 +266,12 @@
 				o.now += time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond
 				step(Event{Type: EventTick})
 			},
-		})
+		}
+		// Offers and statements are the common events, so that queues build up.
+		for _, name := range []string{"offer", "statement", "statementEnd"} {
+			actions[name+" again"], actions[name+" once more"] = actions[name], actions[name]
+		}
+		t.Repeat(actions)
 	})
 }
 
