--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,184 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/control"
+	"egretroad/internal/platform"
+	"egretroad/internal/topology"
+)
+
+// agreed fails the test unless all running nodes hold the store's state and
+// agree on the homes of all servers.
+func agreed(s *sim) error {
+	var first *node
+	for _, id := range s.order {
+		n := s.nodes[id]
+		if !n.up {
+			continue
+		}
+		if !n.ready {
+			return fmt.Errorf("%s is not ready", id)
+		}
+		if first == nil {
+			first = n
+		}
+		if err := sameView(s, first, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sameView(s *sim, a, b *node) error {
+	for id, home := range a.snapshot.Homes {
+		if b.snapshot.Homes[id] != home {
+			return fmt.Errorf("home of %s is %q on %s and %q on %s", id, home, a.vm.ID, b.snapshot.Homes[id], b.vm.ID)
+		}
+		if n := s.nodes[home]; n == nil || !n.up {
+			return fmt.Errorf("home of %s is %s, which is down", id, home)
+		}
+	}
+	if len(a.snapshot.Homes) != len(b.snapshot.Homes) {
+		return fmt.Errorf("%d homes on %s and %d on %s", len(a.snapshot.Homes), a.vm.ID, len(b.snapshot.Homes), b.vm.ID)
+	}
+	for _, l := range []platform.ObjectList{s.store.list(platform.KindCatalogue), s.store.list(platform.KindGroup)} {
+		for _, o := range l.Objects {
+			if got := b.highest[o.Kind+"/"+o.Name]; got != o.Version {
+				return fmt.Errorf("%s has version %d of %s/%s, want %d", b.vm.ID, got, o.Kind, o.Name, o.Version)
+			}
+		}
+	}
+	if want := len(s.store.list(platform.KindCatalogue).Objects); len(b.snapshot.Catalogue.Names()) != want {
+		return fmt.Errorf("%s has %d entries, want %d", b.vm.ID, len(b.snapshot.Catalogue.Names()), want)
+	}
+	return nil
+}
+
+func failOn(t *testing.T) func(string, ...any) {
+	return func(format string, args ...any) { t.Helper(); t.Fatalf(format, args...) }
+}
+
+func started(t *testing.T, dataCentres, vmsEach, databases int) *sim {
+	s := newSim(dataCentres, vmsEach, databases, failOn(t))
+	s.startAll()
+	s.advance(3 * time.Second)
+	NewWithT(t).Expect(agreed(s)).To(Succeed())
+	return s
+}
+
+func TestStartAgrees(t *testing.T) {
+	started(t, 3, 3, 6)
+}
+
+func TestChangeReachesAll(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 4, 6)
+	e := simEntry(2)
+	e.MaxConcurrent = 7
+	s.store.put(platform.KindCatalogue, e.Name, e)
+	s.advance(500 * time.Millisecond)
+	g.Expect(agreed(s)).To(Succeed())
+	got, _ := s.nodes["vm-2-3"].snapshot.Catalogue.Entry(e.Name)
+	g.Expect(got.MaxConcurrent).To(Equal(7))
+}
+
+func TestDeletionReachesAll(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 3, 6)
+	s.store.delete(platform.KindCatalogue, simEntry(1).Name)
+	s.advance(500 * time.Millisecond)
+	g.Expect(agreed(s)).To(Succeed())
+}
+
+func TestInvalidObjectLeavesLastGoodOne(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 3, 6)
+	name := simEntry(1).Name
+	before := s.nodes["vm-0-0"].highest["catalogue/"+name]
+	s.store.putRaw(platform.KindCatalogue, name, []byte(`{"name":"`+name+`","newField":1}`))
+	s.advance(time.Second)
+	fresh := s.start(s.nodes["vm-1-1"].vm)
+	s.store.down = true
+	s.advance(3 * time.Second)
+	for _, n := range []*node{s.nodes["vm-0-0"], fresh} {
+		_, known := n.snapshot.Catalogue.Entry(name)
+		g.Expect(known).To(BeTrue(), n.vm.ID)
+		g.Expect(n.highest["catalogue/"+name]).To(Equal(before), n.vm.ID)
+	}
+}
+
+func TestDeadVMLosesHomes(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 3, 9)
+	s.nodes["vm-1-1"].up = false
+	s.advance(2 * time.Second)
+	g.Expect(agreed(s)).To(Succeed())
+	g.Expect(s.nodes["vm-0-0"].snapshot.VMs).NotTo(HaveKey("vm-1-1"))
+	s.start(s.nodes["vm-1-1"].vm)
+	s.advance(2 * time.Second)
+	g.Expect(agreed(s)).To(Succeed())
+	g.Expect(s.nodes["vm-0-0"].snapshot.VMs).To(HaveKey("vm-1-1"))
+}
+
+func TestCutDataCentreServesAndHeals(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 3, 9)
+	s.cut["dc1"] = true
+	s.advance(2 * time.Second)
+	e := simEntry(3)
+	e.MaxConcurrent = 9
+	s.store.put(platform.KindCatalogue, e.Name, e)
+	s.advance(10 * time.Second)
+	for id, home := range s.nodes["vm-1-0"].snapshot.Homes {
+		_, server, _ := s.nodes["vm-1-0"].snapshot.FindServer(id)
+		if server.DataCentre == "dc1" {
+			g.Expect(s.nodes[home].vm.DataCentre).To(Equal("dc1"))
+		}
+	}
+	s.cut = map[string]bool{}
+	s.advance(8 * time.Second)
+	g.Expect(agreed(s)).To(Succeed())
+}
+
+func TestStartFromPeerWhileStoreIsDown(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 3, 6)
+	s.store.down = true
+	s.seeds = []topology.VM{simVM(0, 0), simVM(1, 0)}
+	fresh := s.start(simVM(0, 2))
+	s.advance(3 * time.Second)
+	g.Expect(fresh.ready).To(BeTrue())
+	g.Expect(agreed(s)).To(Succeed())
+}
+
+func TestWaitsWithNeitherStoreNorPeer(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(1, 2, 2, failOn(t))
+	s.store.down = true
+	s.startAll()
+	s.advance(15 * time.Second)
+	n := s.nodes["vm-0-0"]
+	g.Expect(n.ready).To(BeFalse())
+	g.Expect(n.machine.Dump().Waiting).NotTo(BeEmpty())
+	s.store.down = false
+	s.advance(8 * time.Second)
+	g.Expect(agreed(s)).To(Succeed())
+}
+
+func TestFarewellMovesHomesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 2, 3, 8)
+	leaver := s.nodes["vm-0-1"]
+	s.step(leaver, leaving())
+	s.advance(100 * time.Millisecond)
+	for _, home := range s.nodes["vm-1-2"].snapshot.Homes {
+		g.Expect(home).NotTo(Equal("vm-0-1"))
+	}
+}
+
+func leaving() control.Leaving { return control.Leaving{} }
--- /dev/null
+++ b/internal/control/dump.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"sort"
+	"time"
+)
+
+// Dump is the state of the control machine for operators. Ages are counted from
+// the dump.
+type Dump struct {
+	Self        string            `json:"self"`
+	Incarnation uint64            `json:"incarnation"`
+	Ready       bool              `json:"ready"`
+	Complete    uint64            `json:"complete"` // every object up to this revision is known
+	InForce     uint64            `json:"inForce"`
+	Watcher     string            `json:"watcher"` // VM that watches the store for this data centre
+	Store       string            `json:"store"`   // "ok" or the last error
+	Waiting     []string          `json:"waiting"` // what is being waited for
+	Objects     []ObjectDump      `json:"objects"`
+	Members     []MemberDump      `json:"members"`
+	Homes       map[string]string `json:"homes"` // VM by server
+}
+
+// ObjectDump says which version of an object is in force and from whom it came.
+type ObjectDump struct {
+	Object  string `json:"object"`
+	Newest  uint64 `json:"newest"`
+	InForce uint64 `json:"inForce"`
+	AgeMS   int64  `json:"ageMs"`
+	From    string `json:"from"`
+	Deleted bool   `json:"deleted,omitempty"`
+	Fault   string `json:"fault,omitempty"` // why the newest version is not in force
+}
+
+// MemberDump says what is thought of a VM and why.
+type MemberDump struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"dataCentre"`
+	Status      string `json:"status"`
+	Incarnation uint64 `json:"incarnation"`
+	Why         string `json:"why"`
+	AgeMS       int64  `json:"ageMs"`
+	Listed      bool   `json:"listed"`
+	TakesHomes  bool   `json:"takesHomes"`
+	Monitored   bool   `json:"monitored,omitempty"` // by this VM
+	SilentMS    int64  `json:"silentMs,omitempty"`  // of a monitored VM
+}
+
+// Dump returns the machine's state. It must run on the control goroutine.
+func (m *Machine) Dump() Dump {
+	return Dump{
+		Self:        m.cfg.Self.ID,
+		Incarnation: m.self.incarnation,
+		Ready:       m.Ready(),
+		Complete:    m.complete,
+		InForce:     m.inForce(),
+		Watcher:     m.ring.watcher,
+		Store:       m.store.describe(),
+		Waiting:     m.waiting(),
+		Objects:     m.dumpObjects(),
+		Members:     m.dumpMembers(),
+		Homes:       m.snapshot.current.Homes,
+	}
+}
+
+func (m *Machine) waiting() []string {
+	waiting := []string{}
+	if !m.Ready() {
+		waiting = append(waiting, "catalogue and groups, from the store or a peer")
+	}
+	if m.self.rejoinAt != 0 {
+		waiting = append(waiting, "rejoining in "+(m.self.rejoinAt-m.now).String())
+	}
+	if m.store.watch.busy && m.store.watching {
+		waiting = append(waiting, "the next change of the store")
+	}
+	for vm := range m.sync.fetching {
+		waiting = append(waiting, "a copy from "+vm)
+	}
+	for vm := range m.sync.differs {
+		waiting = append(waiting, "agreement with "+vm)
+	}
+	if m.status.dirty && m.watcher() {
+		waiting = append(waiting, "reports of the data centre's VMs")
+	}
+	sort.Strings(waiting)
+	return waiting
+}
+
+func (m *Machine) dumpObjects() []ObjectDump {
+	var out []ObjectDump
+	for _, o := range m.objects.sorted(func(int) bool { return true }) {
+		d := ObjectDump{
+			Object:  objectKey{o.record.Kind, o.record.Name}.String(),
+			Newest:  o.record.Version,
+			InForce: o.inForce,
+			AgeMS:   milliseconds(m.now - o.since),
+			From:    o.from,
+			Deleted: o.record.Deleted,
+		}
+		if o.fault != nil {
+			d.Fault = o.fault.Error()
+		}
+		out = append(out, d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Object < out[j].Object })
+	return out
+}
+
+func (m *Machine) dumpMembers() []MemberDump {
+	var out []MemberDump
+	for _, id := range m.members.ids(func(*member) bool { return true }) {
+		x := m.members.members[id]
+		d := MemberDump{
+			ID:          id,
+			DataCentre:  x.vm.DataCentre,
+			Status:      x.record.Status.String(),
+			Incarnation: x.record.Incarnation,
+			Why:         x.why,
+			AgeMS:       milliseconds(m.now - x.since),
+			Listed:      x.listed,
+			TakesHomes:  x.takesHomes(),
+			Monitored:   m.self.watched[id],
+		}
+		if d.Monitored {
+			d.SilentMS = milliseconds(m.silence(x))
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,234 @@
+// Package control is the pure state machine of a proxy's control plane: platform
+// objects whose versions only rise, membership of the fleet's VMs, homes of
+// backend servers, and the snapshot that traffic reads. It has no clock, no
+// goroutine and performs no I/O; package control/run carries its effects out.
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretroad/internal/peer"
+	"egretroad/internal/reducer"
+)
+
+// Sources of objects, beside VM IDs.
+const (
+	fromStore = "store"
+	fromWatch = "watch"
+)
+
+// Machine implements reducer.Machine.
+type Machine struct {
+	cfg     Config
+	opts    Options
+	now     time.Duration
+	started bool
+	effects []reducer.Effect
+
+	objects  objectTable
+	complete uint64 // every object up to this revision is known
+	members  memberTable
+	ring     ring
+	self     selfState
+	timers   timers
+	store    storeState
+	sync     syncState
+	status   statusState
+	snapshot snapshotState
+	salt     uint64 // makes each jitter different
+}
+
+// New returns a machine that starts at its first reducer.Tick.
+func New(cfg Config) *Machine {
+	return &Machine{
+		cfg:      cfg,
+		opts:     cfg.Options,
+		objects:  newObjectTable(),
+		members:  newMemberTable(),
+		self:     selfState{incarnation: cfg.Incarnation},
+		sync:     newSyncState(),
+		status:   newStatusState(),
+		snapshot: newSnapshotState(cfg.Self.ID),
+	}
+}
+
+// Step implements reducer.Machine.
+func (m *Machine) Step(e reducer.Event) []reducer.Effect {
+	m.effects = nil
+	if !m.started && !startsOrAsks(e) {
+		return nil
+	}
+	switch e := e.(type) {
+	case reducer.Tick:
+		m.tick(e.Now)
+	case reducer.PeerMessage:
+		m.receive(e)
+	case reducer.ObjectChanged:
+		m.objectChanged(e)
+	case ObjectsListed:
+		m.objectsListed(e)
+	case ObjectsWatched:
+		m.objectsWatched(e)
+	case VMsListed:
+		m.vmsListed(e)
+	case PeerFetched:
+		m.peerFetched(e)
+	case PeerAsked:
+		m.peerAsked(e)
+	case StatusWritten:
+		m.statusWritten(e)
+	case Leaving:
+		m.leave()
+	default:
+		return nil
+	}
+	m.finish()
+	return m.effects
+}
+
+// startsOrAsks reports whether an event may come before the first tick.
+func startsOrAsks(e reducer.Event) bool {
+	switch e.(type) {
+	case reducer.Tick, PeerAsked:
+		return true
+	default:
+		return false
+	}
+}
+
+// Ready reports whether the catalogue and the groups are known.
+func (m *Machine) Ready() bool { return m.complete > 0 }
+
+// tick runs what is due.
+func (m *Machine) tick(now time.Duration) {
+	gap := now - m.now
+	m.now = now
+	if !m.started {
+		m.start()
+		return
+	}
+	if gap > m.opts.PauseLimit {
+		m.resumed(gap)
+	}
+	m.rejoinWhenDue()
+	m.sendHeartbeats()
+	m.detect()
+	m.callStore()
+	m.fetchWhenDue()
+	m.reportWhenDue()
+	m.members.forget(now)
+}
+
+// start reads the store and asks seeds for a copy, whichever answers first.
+func (m *Machine) start() {
+	m.started = true
+	m.timers.reset(m.now)
+	vm := m.cfg.Self
+	m.members.merge(Record{ID: vm.ID, Incarnation: m.self.incarnation, VM: &vm}, "this VM", m.now)
+	m.snapshot.seed(m.cfg.Self, m.cfg.Seeds)
+	m.publishNow()
+	m.callStore()
+	m.fetchFromSeeds()
+}
+
+// finish brings derived state up to date after an event.
+func (m *Machine) finish() {
+	if !m.started {
+		return
+	}
+	if len(m.members.changed) > 0 {
+		m.ring = buildRing(&m.members, m.cfg.Self.ID, m.cfg.Self.DataCentre, m.opts.Monitors, m.opts.FarPeers)
+		m.snapshot.membersChanged(m.members.changed)
+		m.members.changed = make(map[string]bool)
+		m.startMonitoring()
+		m.markStatusDirty()
+		m.watcherChanged()
+	}
+	m.announceWhenReady()
+	m.report()
+	m.publishWhenDue()
+}
+
+// receive decodes a peer's one-way message.
+func (m *Machine) receive(e reducer.PeerMessage) {
+	var err error
+	switch e.Method {
+	case peer.MethodHeartbeat:
+		var h Heartbeat
+		if err = decode(e.Method, e.Body, &h); err == nil {
+			m.heartbeat(e.From, h)
+		}
+	case peer.MethodObjects:
+		var n ObjectNews
+		if err = decode(e.Method, e.Body, &n); err == nil {
+			m.objectNews(e.From, n)
+		}
+	case peer.MethodStatus:
+		var r Report
+		if err = decode(e.Method, e.Body, &r); err == nil {
+			m.reported(e.From, r)
+		}
+	}
+	if err != nil {
+		m.alarm("peer_message_invalid", "from", e.From, "error", err)
+	}
+}
+
+func (m *Machine) emit(e reducer.Effect) { m.effects = append(m.effects, e) }
+
+func (m *Machine) notify(to []string, method string, message any) {
+	if len(to) > 0 {
+		m.emit(Notify{To: to, Method: method, Body: encode(message)})
+	}
+}
+
+func (m *Machine) log(event string, fields ...any) { m.emit(Log{Event: event, Fields: fields}) }
+
+func (m *Machine) alarm(event string, fields ...any) {
+	m.emit(Log{Alarm: true, Event: event, Fields: fields})
+}
+
+// jitter varies a duration by up to a quarter either way. The same machine given
+// the same events always draws the same values.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	m.salt++
+	const steps = 1024
+	draw := time.Duration(versionHash(m.cfg.Self.ID, m.salt) % steps)
+	return d*3/4 + d/2*draw/steps
+}
+
+// phase returns where in an interval this VM's first timer falls, so that VMs
+// started together do not act together.
+func (m *Machine) phase(interval time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(m.cfg.Self.ID) % uint64(interval))
+}
+
+func (m *Machine) dataCentre() string { return m.cfg.Self.DataCentre }
+
+// others returns the other VMs of this data centre that are thought to answer.
+func (m *Machine) others() []string { return without(m.ring.order, m.cfg.Self.ID) }
+
+func (m *Machine) inOwnDataCentre(vm string) bool {
+	known := m.members.members[vm]
+	return known != nil && known.vm.DataCentre == m.dataCentre()
+}
+
+func without(ids []string, id string) []string {
+	kept := make([]string, 0, len(ids))
+	for _, x := range ids {
+		if x != id {
+			kept = append(kept, x)
+		}
+	}
+	return kept
+}
+
+// selfRecord returns this VM's own record with its addresses.
+func (m *Machine) selfRecord() Record {
+	r := m.members.members[m.cfg.Self.ID].record
+	vm := m.cfg.Self
+	r.VM = &vm
+	return r
+}
--- /dev/null
+++ b/internal/control/objects.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/platform"
+	"egretroad/internal/topology"
+)
+
+// kindVMs is the kind under which the platform's list of VMs spreads between
+// peers; its version is the list's revision.
+const (
+	kindVMs = "vms"
+	nameVMs = "list"
+)
+
+// bucketCount is the number of digests that a fetch compares, so that it
+// carries only a small part of the objects when little differs.
+const bucketCount = 64
+
+// maxFetchBytes bounds the values in one answer to a fetch.
+const maxFetchBytes = 512 << 10
+
+type objectKey struct{ kind, name string }
+
+func (k objectKey) String() string { return k.kind + "/" + k.name }
+
+func (k objectKey) bucket() int {
+	return int(xxhash.Sum64String(k.String()) % bucketCount)
+}
+
+// object is the newest version seen of a platform object, and its value in force.
+type object struct {
+	record  ObjectRecord
+	from    string        // "store", "watch" or a VM ID
+	since   time.Duration // when the version in force came, on CLOCK_BOOTTIME
+	fault   error         // why the newest version is not in force; nil: it is
+	inForce uint64        // version in force; 0: none
+	entry   *catalogue.Entry
+	group   *topology.Group
+	vms     *platform.VMList
+}
+
+// present reports whether the object has a value in force.
+func (o *object) present() bool { return o.inForce != 0 }
+
+// objectTable holds the newest version of every object. Versions only rise.
+type objectTable struct {
+	objects map[objectKey]*object
+	buckets [bucketCount]uint64 // digests: XOR over the objects' hashes
+	digest  uint64              // XOR over the buckets' hashes
+	highest uint64              // highest version of a catalogue entry or group
+	faults  int                 // objects whose newest version is not in force
+}
+
+func newObjectTable() objectTable {
+	return objectTable{objects: make(map[objectKey]*object)}
+}
+
+// merge takes a record in unless a version at least as high is known. It
+// reports whether the record is news, and whether it changed what is in force.
+func (t *objectTable) merge(r ObjectRecord, from string, now time.Duration) (news, changed bool) {
+	if !spreadKind(r.Kind) || r.Version == 0 {
+		return false, false
+	}
+	key := objectKey{r.Kind, r.Name}
+	old := t.objects[key]
+	if old == nil {
+		old = &object{}
+	}
+	if r.Version <= old.record.Version {
+		return false, t.adoptGood(key, old, r, from, now)
+	}
+	t.hash(key, old.record.Version, r.Version)
+	next := &object{record: r, from: from, since: now}
+	next.parse()
+	if next.fault != nil {
+		next.keepGood(old)
+		next.useGood(r, from, now)
+	}
+	t.objects[key] = next
+	t.countFaults(old, next)
+	if r.Kind != kindVMs && r.Version > t.highest {
+		t.highest = r.Version
+	}
+	return true, next.inForce != old.inForce || next.record.Deleted
+}
+
+// adoptGood takes the last valid value from a peer that knows a later one, when
+// the newest version is not valid here.
+func (t *objectTable) adoptGood(key objectKey, old *object, r ObjectRecord, from string, now time.Duration) bool {
+	if old.fault == nil || r.Version != old.record.Version {
+		return false
+	}
+	next := *old
+	if !next.useGood(r, from, now) {
+		return false
+	}
+	t.objects[key] = &next
+	return true
+}
+
+// parse puts the record in force if it is valid, else it notes the fault.
+func (o *object) parse() {
+	if o.record.Deleted {
+		return
+	}
+	o.fault = o.parseValue(o.record.Value)
+	if o.fault == nil {
+		o.inForce = o.record.Version
+	}
+}
+
+func (o *object) parseValue(value []byte) error {
+	switch o.record.Kind {
+	case platform.KindCatalogue:
+		parsed, err := catalogue.DecodeObject(o.record.Name, value)
+		if err != nil {
+			return err
+		}
+		o.entry = &parsed.Entry
+	case platform.KindGroup:
+		g, err := decodeGroup(o.record.Name, value)
+		if err != nil {
+			return err
+		}
+		o.group = g
+	case kindVMs:
+		l := &platform.VMList{}
+		if err := json.Unmarshal(value, l); err != nil {
+			return &ValueError{Object: kindVMs, Cause: err}
+		}
+		o.vms = l
+	}
+	return nil
+}
+
+// keepGood leaves the value of an earlier version in force.
+func (o *object) keepGood(old *object) {
+	o.inForce, o.entry, o.group, o.vms, o.since = old.inForce, old.entry, old.group, old.vms, old.since
+	o.record.GoodVersion, o.record.Good = old.record.GoodVersion, old.record.Good
+	if old.fault == nil {
+		o.record.GoodVersion, o.record.Good = old.record.Version, old.record.Value
+	}
+}
+
+// useGood puts the last valid value of a peer's record in force if it is later
+// than the one in force here.
+func (o *object) useGood(r ObjectRecord, from string, now time.Duration) bool {
+	if r.GoodVersion <= o.inForce || r.GoodVersion >= r.Version {
+		return false
+	}
+	if o.parseValue(r.Good) != nil {
+		return false
+	}
+	o.inForce, o.since, o.from = r.GoodVersion, now, from
+	o.record.GoodVersion, o.record.Good = r.GoodVersion, r.Good
+	return true
+}
+
+// hash updates the digests for an object that goes from one version to another.
+func (t *objectTable) hash(key objectKey, from, to uint64) {
+	b := key.bucket()
+	if from != 0 {
+		t.buckets[b] ^= versionHash(key.String(), from)
+		t.digest ^= versionHash(key.String(), from)
+	}
+	t.buckets[b] ^= versionHash(key.String(), to)
+	t.digest ^= versionHash(key.String(), to)
+}
+
+func versionHash(key string, version uint64) uint64 {
+	b := make([]byte, 0, len(key)+8)
+	b = append(b, key...)
+	b = binary.BigEndian.AppendUint64(b, version)
+	return xxhash.Sum64(b)
+}
+
+// sorted returns the objects of the buckets that pick chooses, by key.
+func (t *objectTable) sorted(pick func(bucket int) bool) []*object {
+	var found []*object
+	for key, o := range t.objects {
+		if pick(key.bucket()) {
+			found = append(found, o)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool {
+		a, b := found[i].record, found[j].record
+		x, y := objectKey{a.Kind, a.Name}, objectKey{b.Kind, b.Name}
+		if x.bucket() != y.bucket() {
+			return x.bucket() < y.bucket()
+		}
+		return x.String() < y.String()
+	})
+	return found
+}
+
+// differing returns records of the buckets whose digests differ from the
+// asker's, whole buckets up to maxFetchBytes of values, and whether more differ.
+func (t *objectTable) differing(digests []uint64) (records []ObjectRecord, more bool) {
+	differs := func(b int) bool { return len(digests) != bucketCount || digests[b] != t.buckets[b] }
+	bytes, last := 0, -1
+	for _, o := range t.sorted(differs) {
+		bucket := objectKey{o.record.Kind, o.record.Name}.bucket()
+		if bytes > maxFetchBytes && bucket != last {
+			return records, true
+		}
+		last = bucket
+		bytes += len(o.record.Value) + len(o.record.Good)
+		records = append(records, o.record)
+	}
+	return records, false
+}
+
+// unserved returns the buckets of objects that have a newest version but none in
+// force, because it is not valid and no earlier one is known.
+func (t *objectTable) unserved() []int {
+	if t.faults == 0 {
+		return nil
+	}
+	var buckets []int
+	for key, o := range t.objects {
+		if o.fault != nil && !o.present() {
+			buckets = append(buckets, key.bucket())
+		}
+	}
+	return buckets
+}
+
+// countFaults follows the number of objects whose newest version is not in force.
+func (t *objectTable) countFaults(old, next *object) {
+	if old.fault != nil {
+		t.faults--
+	}
+	if next.fault != nil {
+		t.faults++
+	}
+}
+
+// invalid returns kind/name@version of the objects whose newest version is not
+// in force, sorted.
+func (t *objectTable) invalid() []string {
+	if t.faults == 0 {
+		return nil
+	}
+	var names []string
+	for key, o := range t.objects {
+		if o.fault != nil {
+			names = append(names, fmt.Sprintf("%s@%d", key, o.record.Version))
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// spreadKind reports whether objects of a kind spread between peers. Leases do
+// not: they are read where they are used.
+func spreadKind(kind string) bool {
+	return kind == platform.KindCatalogue || kind == platform.KindGroup || kind == kindVMs
+}
+
+// decodeGroup reads and checks the value of a group object.
+func decodeGroup(name string, value []byte) (*topology.Group, error) {
+	g := &topology.Group{}
+	if err := catalogue.DecodeStrict(value, g); err != nil {
+		return nil, &ValueError{Object: "group/" + name, Cause: err}
+	}
+	if g.Database != name {
+		return nil, &topology.GroupError{Database: name, Field: "database", Value: fmt.Sprintf("%.80q", g.Database), Want: "the name of its object"}
+	}
+	if err := g.Check(); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// ValueError reports a platform object whose value cannot be decoded.
+type ValueError struct {
+	Object string
+	Cause  error
+}
+
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("value of %s cannot be decoded: %v", e.Object, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ValueError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"time"
+
+	"egretroad/internal/topology"
+)
+
+// Options sets the times and bounds of the control machine.
+type Options struct {
+	Heartbeat     time.Duration // between heartbeats to the monitors of this VM
+	FarHeartbeat  time.Duration // between heartbeats to other data centres
+	ProbeAfter    time.Duration // silence after which a VM is asked for a heartbeat
+	SilenceLimit  time.Duration // silence after which a VM is reported
+	Monitors      int           // VMs that monitor each VM
+	Quorum        int           // monitors that must report a VM before it is thought dead
+	FarPeers      int           // VMs of other data centres that get heartbeats
+	PauseLimit    time.Duration // gap between ticks after which silence is counted anew
+	RejoinFirst   time.Duration // wait before the first return after a false death
+	RejoinMax     time.Duration // longest wait before a return
+	WatchWait     time.Duration // longest wait of one watch
+	WatchPace     time.Duration // least time between two watches
+	PollInterval  time.Duration // between polls of VMs that do not watch; varies by a quarter
+	VMsInterval   time.Duration // between reads of the list of VMs by the watcher
+	VMsPoll       time.Duration // between reads of the list of VMs by other VMs
+	RetryFirst    time.Duration // first wait after a failed call to the store
+	RetryMax      time.Duration // longest wait after a failed call to the store
+	FetchDelay    time.Duration // how long a difference from a peer must last before a fetch
+	FetchTimeout  time.Duration // how long a fetch may take
+	PublishPace   time.Duration // least time between two snapshots
+	ReportDelay   time.Duration // how long the watcher waits for the VMs' reports
+	ReportRefresh time.Duration // between repeated reports to the watcher
+	WaitingNotice time.Duration // between log lines while there is no catalogue
+}
+
+// DefaultOptions returns the options of a proxy.
+func DefaultOptions() Options {
+	return Options{
+		Heartbeat:     250 * time.Millisecond,
+		FarHeartbeat:  time.Second,
+		ProbeAfter:    500 * time.Millisecond,
+		SilenceLimit:  time.Second,
+		Monitors:      3,
+		Quorum:        2,
+		FarPeers:      2,
+		PauseLimit:    500 * time.Millisecond,
+		RejoinFirst:   250 * time.Millisecond,
+		RejoinMax:     30 * time.Second,
+		WatchWait:     5 * time.Second,
+		WatchPace:     50 * time.Millisecond,
+		PollInterval:  time.Minute,
+		VMsInterval:   2 * time.Second,
+		VMsPoll:       5 * time.Minute,
+		RetryFirst:    250 * time.Millisecond,
+		RetryMax:      5 * time.Second,
+		FetchDelay:    300 * time.Millisecond,
+		FetchTimeout:  3 * time.Second,
+		PublishPace:   20 * time.Millisecond,
+		ReportDelay:   time.Second,
+		ReportRefresh: 10 * time.Second,
+		WaitingNotice: 10 * time.Second,
+	}
+}
+
+// Config is what a machine knows at its start.
+type Config struct {
+	Options     Options
+	Self        topology.VM
+	Incarnation uint64        // higher than at any earlier start of this VM
+	Seeds       []topology.VM // VMs from the settings, asked for a copy at the start
+}
--- /dev/null
+++ b/internal/control/run/executor.go
@@ -0,0 +1,252 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"egretroad/internal/control"
+	"egretroad/internal/peer"
+	"egretroad/internal/platform"
+	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
+)
+
+// executor carries the effects of the control machine out. Calls that wait run
+// in goroutines of their own.
+type executor struct {
+	opts      Options
+	store     platform.Store
+	peers     peer.Caller
+	publisher *topology.Publisher
+	log       hclog.Logger
+	post      func(reducer.Event)
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	calls     sync.WaitGroup
+	ready     chan struct{}
+	readyOnce sync.Once
+
+	mu          sync.Mutex // guards the fields below
+	cancelWatch context.CancelFunc
+	nextAsk     uint64
+	asks        map[uint64]chan control.FetchReply
+
+	notified  *expvar.Int
+	sentBytes *expvar.Int
+	published *expvar.Int
+	alarms    *expvar.Int
+}
+
+func newExecutor(o Options, d Deps) *executor {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &executor{
+		opts:      o,
+		store:     d.Store,
+		peers:     d.Peers,
+		publisher: d.Publisher,
+		log:       d.Log,
+		ctx:       ctx,
+		cancel:    cancel,
+		ready:     make(chan struct{}),
+		asks:      make(map[uint64]chan control.FetchReply),
+		notified:  d.Metrics.Int("control", "messages_sent"),
+		sentBytes: d.Metrics.Int("control", "message_bytes_sent"),
+		published: d.Metrics.Int("control", "snapshots_published"),
+		alarms:    d.Metrics.Int("control", "alarms"),
+	}
+}
+
+// Execute implements reducer.Executor.
+func (x *executor) Execute(_ context.Context, effect reducer.Effect, post func(reducer.Event)) bool {
+	switch e := effect.(type) {
+	case control.Notify:
+		x.notify(e)
+	case control.Publish:
+		x.publish(e, post)
+	case control.Log:
+		x.writeLog(e)
+	case control.ListObjects:
+		x.run(func() reducer.Event { return x.list(e.Kind) })
+	case control.WatchObjects:
+		x.watch(e)
+	case control.CancelWatch:
+		x.endWatch()
+	case control.ListVMs:
+		x.run(x.listVMs)
+	case control.FetchCopy:
+		x.run(func() reducer.Event { return x.fetch(e) })
+	case control.AnswerFetch:
+		x.answerFetch(e)
+	case control.WriteStatus:
+		x.run(func() reducer.Event { return x.writeStatus(e) })
+	default:
+		return false
+	}
+	return true
+}
+
+// run makes a call in a goroutine and posts its result.
+func (x *executor) run(call func() reducer.Event) {
+	x.calls.Go(func() { x.post(call()) })
+}
+
+func (x *executor) stop() { x.cancel() }
+
+// wait waits for the calls in progress until ctx ends.
+func (x *executor) wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		x.calls.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (x *executor) notify(e control.Notify) {
+	for _, vm := range e.To {
+		x.notified.Add(1)
+		x.sentBytes.Add(int64(len(e.Body)))
+		x.peers.Notify(vm, e.Method, e.Body)
+	}
+}
+
+func (x *executor) publish(e control.Publish, post func(reducer.Event)) {
+	x.published.Add(1)
+	x.publisher.Publish(e.Snapshot)
+	post(reducer.SnapshotPublished{Snapshot: e.Snapshot})
+	if e.Ready {
+		x.readyOnce.Do(func() { close(x.ready) })
+	}
+}
+
+func (x *executor) writeLog(e control.Log) {
+	if e.Alarm {
+		x.alarms.Add(1)
+		x.log.Warn(e.Event, e.Fields...)
+		return
+	}
+	x.log.Info(e.Event, e.Fields...)
+}
+
+func (x *executor) list(kind string) reducer.Event {
+	l, err := x.store.List(x.ctx, kind)
+	return control.ObjectsListed{Kind: kind, List: l, Err: err}
+}
+
+func (x *executor) listVMs() reducer.Event {
+	l, err := x.store.VMs(x.ctx)
+	return control.VMsListed{List: l, Err: err}
+}
+
+func (x *executor) watch(e control.WatchObjects) {
+	ctx, cancel := context.WithCancel(x.ctx)
+	x.mu.Lock()
+	x.cancelWatch = cancel
+	x.mu.Unlock()
+	x.run(func() reducer.Event {
+		defer cancel()
+		reply, err := x.store.Watch(ctx, e.Since, e.Wait)
+		return control.ObjectsWatched{Since: e.Since, Reply: reply, Err: err}
+	})
+}
+
+func (x *executor) endWatch() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cancelWatch != nil {
+		x.cancelWatch()
+	}
+}
+
+// fetch asks a peer for its copy.
+func (x *executor) fetch(e control.FetchCopy) reducer.Event {
+	ctx, cancel := context.WithTimeout(x.ctx, x.opts.Machine.FetchTimeout)
+	defer cancel()
+	result := control.PeerFetched{From: e.From}
+	request, err := msgpack.Marshal(e.Request)
+	if err != nil {
+		result.Err = &control.MessageError{Method: peer.MethodFetch, Cause: err}
+		return result
+	}
+	answer, err := x.peers.Call(ctx, e.From, peer.MethodFetch, request)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	if err := msgpack.Unmarshal(answer, &result.Reply); err != nil {
+		result.Err = &control.MessageError{Method: peer.MethodFetch, Cause: err}
+	}
+	return result
+}
+
+// serveFetch handles a peer's fetch: the machine computes the answer.
+func (x *executor) serveFetch(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var request control.FetchRequest
+	if err := msgpack.Unmarshal(body, &request); err != nil {
+		return nil, &control.MessageError{Method: peer.MethodFetch, Cause: err}
+	}
+	ask, answer := x.newAsk()
+	defer x.dropAsk(ask)
+	x.post(control.PeerAsked{Ask: ask, Request: request})
+	select {
+	case reply := <-answer:
+		return msgpack.Marshal(reply)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-x.ctx.Done():
+		return nil, x.ctx.Err()
+	}
+}
+
+func (x *executor) newAsk() (uint64, chan control.FetchReply) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.nextAsk++
+	answer := make(chan control.FetchReply, 1)
+	x.asks[x.nextAsk] = answer
+	return x.nextAsk, answer
+}
+
+func (x *executor) dropAsk(ask uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.asks, ask)
+}
+
+func (x *executor) answerFetch(e control.AnswerFetch) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if answer, waiting := x.asks[e.Ask]; waiting {
+		answer <- e.Reply
+		delete(x.asks, e.Ask)
+	}
+}
+
+// writeStatus replaces the data centre's status object.
+func (x *executor) writeStatus(e control.WriteStatus) reducer.Event {
+	value, err := json.Marshal(e.Status)
+	if err != nil {
+		return control.StatusWritten{Version: e.IfVersion, Err: &platform.InvalidValueError{Kind: platform.KindStatus, Name: e.Status.DataCentre, Cause: err}}
+	}
+	o, err := x.store.Put(x.ctx, platform.KindStatus, e.Status.DataCentre, e.IfVersion, value)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return control.StatusWritten{Version: conflict.Current.Version, Err: err}
+	}
+	if err != nil {
+		return control.StatusWritten{Version: e.IfVersion, Err: err}
+	}
+	return control.StatusWritten{Version: o.Version}
+}
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,386 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/control"
+	"egretroad/internal/platform"
+	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
+)
+
+const simTick = 50 * time.Millisecond
+
+// fakeStore is the platform of a simulation.
+type fakeStore struct {
+	revision uint64
+	objects  map[string]platform.Object
+	vms      []topology.VM
+	vmsRev   uint64
+	down     bool
+	calls    int
+}
+
+func (s *fakeStore) put(kind, name string, value any) uint64 {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return s.putRaw(kind, name, raw)
+}
+
+func (s *fakeStore) putRaw(kind, name string, raw []byte) uint64 {
+	s.revision++
+	s.objects[kind+"/"+name] = platform.Object{Kind: kind, Name: name, Version: s.revision, Value: raw}
+	return s.revision
+}
+
+func (s *fakeStore) delete(kind, name string) {
+	s.revision++
+	s.objects[kind+"/"+name] = platform.Object{Kind: kind, Name: name, Version: s.revision, Deleted: true}
+}
+
+func (s *fakeStore) list(kind string) platform.ObjectList {
+	l := platform.ObjectList{Revision: s.revision}
+	for _, o := range s.objects {
+		if o.Kind == kind && !o.Deleted {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Name < l.Objects[j].Name })
+	return l
+}
+
+func (s *fakeStore) since(rev uint64) platform.WatchReply {
+	r := platform.WatchReply{Revision: s.revision}
+	for _, o := range s.objects {
+		if o.Version > rev && o.Kind != platform.KindStatus {
+			r.Objects = append(r.Objects, o)
+		}
+	}
+	sort.Slice(r.Objects, func(i, j int) bool { return r.Objects[i].Version < r.Objects[j].Version })
+	return r
+}
+
+func (s *fakeStore) setVMs(vms []topology.VM) {
+	s.vms = vms
+	s.vmsRev++
+}
+
+// node is one VM of a simulation.
+type node struct {
+	vm       topology.VM
+	machine  *control.Machine
+	up       bool
+	paused   bool
+	offset   time.Duration // its BOOTTIME minus the simulation's
+	snapshot *topology.Snapshot
+	ready    bool
+	watch    *control.WatchObjects // waiting
+	watchEnd time.Duration
+	starts   uint64
+	held     []reducer.Event // arrived while paused
+	asks     map[uint64]func(control.FetchReply)
+	nextAsk  uint64
+	highest  map[string]uint64 // highest version seen in force, by object
+	revision uint64            // highest snapshot revision seen
+	logs     []string
+}
+
+// sim runs machines over a fake store and network in virtual time.
+type sim struct {
+	now      time.Duration
+	store    *fakeStore
+	nodes    map[string]*node
+	order    []string
+	cut      map[string]bool // data centres parted from all else
+	queue    []delivery
+	messages int
+	opts     control.Options
+	seeds    []topology.VM
+	fail     func(format string, args ...any)
+}
+
+type delivery struct {
+	at  time.Duration
+	run func()
+}
+
+func newSim(dataCentres, vmsEach, databases int, fail func(string, ...any)) *sim {
+	s := &sim{
+		now:   time.Hour,
+		store: &fakeStore{objects: map[string]platform.Object{}},
+		nodes: map[string]*node{}, cut: map[string]bool{},
+		opts: control.DefaultOptions(), fail: fail,
+	}
+	var vms []topology.VM
+	for d := range dataCentres {
+		for i := range vmsEach {
+			vms = append(vms, simVM(d, i))
+		}
+	}
+	s.store.setVMs(vms)
+	for i := range databases {
+		s.store.put(platform.KindGroup, simDatabase(i), simGroup(i, dataCentres))
+		s.store.put(platform.KindCatalogue, simDatabase(i)+"-orders", simEntry(i))
+	}
+	return s
+}
+
+func simDatabase(i int) string { return fmt.Sprintf("orders%d", i) }
+
+func simVM(dc, i int) topology.VM {
+	return topology.VM{
+		ID: fmt.Sprintf("vm-%d-%d", dc, i), DataCentre: fmt.Sprintf("dc%d", dc), Region: fmt.Sprintf("r%d", dc%2),
+		PeerAddr: "127.0.0.1:1", CallerAddr: "127.0.0.1:2", State: topology.VMLive,
+	}
+}
+
+func simGroup(i, dataCentres int) topology.Group {
+	g := topology.Group{Database: simDatabase(i), Term: 1}
+	for r := range 3 {
+		dc := (i + r) % dataCentres
+		g.Servers = append(g.Servers, topology.Server{
+			ID: fmt.Sprintf("%s-%d", g.Database, r), Addr: "127.0.0.1:5432", DataCentre: fmt.Sprintf("dc%d", dc),
+			State: topology.ServerActive, Slots: 2, MaxConnections: 16,
+		})
+	}
+	g.Primary = g.Servers[0].ID
+	return g
+}
+
+func simEntry(i int) catalogue.Entry {
+	return catalogue.Entry{
+		Name: simDatabase(i) + "-orders", Kind: "orders", Owner: "shop", Database: simDatabase(i), Default: true,
+		Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Deadline: 1000,
+	}
+}
+
+// start starts or restarts a VM's process, which keeps nothing.
+func (s *sim) start(vm topology.VM) *node {
+	old := s.nodes[vm.ID]
+	n := &node{vm: vm, up: true, asks: map[uint64]func(control.FetchReply){}, highest: map[string]uint64{}, starts: 1}
+	if old != nil {
+		n.starts = old.starts + 1
+	} else {
+		s.order = append(s.order, vm.ID)
+	}
+	n.machine = control.New(control.Config{
+		Options: s.opts, Self: vm, Incarnation: n.starts * 1000, Seeds: s.seeds,
+	})
+	s.nodes[vm.ID] = n
+	s.step(n, reducer.Tick{Now: s.now})
+	return n
+}
+
+func (s *sim) startAll() {
+	for _, vm := range s.store.vms {
+		s.start(vm)
+	}
+}
+
+// advance runs the simulation for a duration.
+func (s *sim) advance(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += simTick
+		s.deliver()
+		for _, id := range s.order {
+			n := s.nodes[id]
+			if n.up && !n.paused {
+				s.step(n, reducer.Tick{Now: s.now})
+			}
+		}
+		s.deliver()
+		s.pollWatches()
+	}
+}
+
+// deliver runs what is due, oldest first, until nothing is.
+func (s *sim) deliver() {
+	for {
+		var due, later []delivery
+		for _, d := range s.queue {
+			if d.at <= s.now {
+				due = append(due, d)
+			} else {
+				later = append(later, d)
+			}
+		}
+		if len(due) == 0 {
+			return
+		}
+		s.queue = later
+		for _, d := range due {
+			d.run()
+		}
+	}
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.queue = append(s.queue, delivery{s.now + d, run})
+}
+
+func (s *sim) reachable(a, b topology.VM) bool {
+	return a.DataCentre == b.DataCentre || !s.cut[a.DataCentre] && !s.cut[b.DataCentre]
+}
+
+func (s *sim) storeReachable(n *node) bool { return !s.store.down && !s.cut[n.vm.DataCentre] }
+
+func (s *sim) pollWatches() {
+	for _, id := range s.order {
+		n := s.nodes[id]
+		if !n.up || n.paused || n.watch == nil {
+			continue
+		}
+		if !s.storeReachable(n) {
+			s.endWatch(n, control.ObjectsWatched{Err: &platform.UnavailableError{Call: "watch"}})
+			continue
+		}
+		r := s.store.since(n.watch.Since)
+		if len(r.Objects) > 0 || s.now >= n.watchEnd {
+			s.endWatch(n, control.ObjectsWatched{Reply: r})
+		}
+	}
+}
+
+func (s *sim) endWatch(n *node, e control.ObjectsWatched) {
+	e.Since = n.watch.Since
+	n.watch = nil
+	s.post(n, e)
+}
+
+// post feeds an event to a node unless its process has ended since.
+func (s *sim) post(n *node, e reducer.Event) {
+	switch {
+	case !n.up || s.nodes[n.vm.ID] != n:
+	case n.paused:
+		n.held = append(n.held, e)
+	default:
+		s.step(n, e)
+	}
+}
+
+func (s *sim) resume(n *node) {
+	n.paused = false
+	held := n.held
+	n.held = nil
+	for _, e := range held {
+		s.step(n, e)
+	}
+}
+
+func (s *sim) step(n *node, e reducer.Event) {
+	for _, effect := range n.machine.Step(e) {
+		s.execute(n, effect)
+	}
+}
+
+func (s *sim) execute(n *node, effect reducer.Effect) {
+	switch e := effect.(type) {
+	case control.Notify:
+		for _, to := range e.To {
+			s.send(n, to, e)
+		}
+	case control.Publish:
+		s.published(n, e)
+	case control.ListObjects:
+		s.storeCall(n, func(err error) reducer.Event {
+			return control.ObjectsListed{Kind: e.Kind, List: s.store.list(e.Kind), Err: err}
+		})
+	case control.ListVMs:
+		s.storeCall(n, func(err error) reducer.Event {
+			list := platform.VMList{Revision: s.store.vmsRev, VMs: slices.Clone(s.store.vms)}
+			return control.VMsListed{List: list, Err: err}
+		})
+	case control.WatchObjects:
+		s.store.calls++
+		n.watch, n.watchEnd = &e, s.now+e.Wait
+	case control.CancelWatch:
+		if n.watch != nil {
+			s.endWatch(n, control.ObjectsWatched{Err: &platform.UnavailableError{Call: "watch"}})
+		}
+	case control.FetchCopy:
+		s.fetch(n, e)
+	case control.AnswerFetch:
+		if answer := n.asks[e.Ask]; answer != nil {
+			answer(e.Reply)
+		}
+	case control.WriteStatus:
+		s.storeCall(n, func(err error) reducer.Event { return s.writeStatus(e, err) })
+	case control.Log:
+		n.logs = append(n.logs, fmt.Sprintf("%v %s %v", s.now, e.Event, e.Fields))
+	}
+}
+
+func (s *sim) writeStatus(e control.WriteStatus, err error) reducer.Event {
+	if err != nil {
+		return control.StatusWritten{Version: e.IfVersion, Err: err}
+	}
+	current := s.store.objects[platform.KindStatus+"/"+e.Status.DataCentre]
+	if current.Version != e.IfVersion {
+		return control.StatusWritten{Version: current.Version, Err: &platform.ConflictError{Current: current}}
+	}
+	return control.StatusWritten{Version: s.store.put(platform.KindStatus, e.Status.DataCentre, e.Status)}
+}
+
+// storeCall answers after a delay, computed when the answer is sent.
+func (s *sim) storeCall(n *node, answer func(err error) reducer.Event) {
+	s.store.calls++
+	s.after(simTick, func() {
+		var err error
+		if !s.storeReachable(n) {
+			err = &platform.UnavailableError{Call: "sim"}
+		}
+		s.post(n, answer(err))
+	})
+}
+
+func (s *sim) send(from *node, to string, e control.Notify) {
+	s.messages++
+	s.after(simTick/10, func() {
+		target := s.nodes[to]
+		if target == nil || !target.up || !s.reachable(from.vm, target.vm) {
+			return
+		}
+		s.post(target, reducer.PeerMessage{From: from.vm.ID, Method: e.Method, Body: e.Body, Now: s.now})
+	})
+}
+
+func (s *sim) fetch(n *node, e control.FetchCopy) {
+	s.after(simTick, func() {
+		target := s.nodes[e.From]
+		if target == nil || !target.up || target.paused || !s.reachable(n.vm, target.vm) {
+			s.post(n, control.PeerFetched{From: e.From, Err: &platform.UnavailableError{Call: "fetch"}})
+			return
+		}
+		target.nextAsk++
+		target.asks[target.nextAsk] = func(r control.FetchReply) {
+			s.after(simTick, func() { s.post(n, control.PeerFetched{From: e.From, Reply: r}) })
+		}
+		s.post(target, control.PeerAsked{Ask: target.nextAsk, Request: e.Request})
+	})
+}
+
+// published checks that nothing in force ever reverts on a running process.
+func (s *sim) published(n *node, e control.Publish) {
+	if e.Snapshot.Revision < n.revision {
+		s.fail("%s: snapshot revision fell from %d to %d", n.vm.ID, n.revision, e.Snapshot.Revision)
+	}
+	n.revision = e.Snapshot.Revision
+	n.snapshot = e.Snapshot
+	n.ready = n.ready || e.Ready
+	for _, o := range n.machine.Dump().Objects {
+		if o.Object == "vms/list" {
+			continue
+		}
+		if o.InForce < n.highest[o.Object] && !o.Deleted {
+			s.fail("%s: %s fell from %d to %d", n.vm.ID, o.Object, n.highest[o.Object], o.InForce)
+		}
+		n.highest[o.Object] = max(n.highest[o.Object], o.InForce)
+	}
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"egretroad/internal/peer"
+)
+
+// VMStatus is what a VM last reported to the watcher of its data centre.
+type VMStatus struct {
+	ID       string   `json:"id"`
+	Revision uint64   `json:"revision"` // in force; 0: not reported
+	Invalid  []string `json:"invalid,omitempty"`
+}
+
+// DataCentreStatus is the value of the platform object of kind "status" whose
+// name is the data centre. Its watcher writes it when a VM's report changes.
+type DataCentreStatus struct {
+	DataCentre string     `json:"dataCentre"`
+	Watcher    string     `json:"watcher"`
+	VMs        []VMStatus `json:"vms"` // VMs thought to answer, sorted by ID
+}
+
+// Equal reports whether two statuses say the same.
+func (s DataCentreStatus) Equal(o DataCentreStatus) bool {
+	return s.DataCentre == o.DataCentre && s.Watcher == o.Watcher && slices.EqualFunc(s.VMs, o.VMs, VMStatus.equal)
+}
+
+func (s VMStatus) equal(o VMStatus) bool {
+	return s.ID == o.ID && s.Revision == o.Revision && slices.Equal(s.Invalid, o.Invalid)
+}
+
+// statusState is the state of the reports on what is in force.
+type statusState struct {
+	unreported bool // an object changed since the last report
+	reportedTo string
+	reportDue  time.Duration
+
+	reports    map[string]Report // to this VM as the watcher
+	dirty      bool
+	dirtySince time.Duration
+	write      storeCall
+	version    uint64
+	written    DataCentreStatus
+	writing    DataCentreStatus
+}
+
+func newStatusState() statusState { return statusState{reports: map[string]Report{}} }
+
+// inForce returns the highest revision such that every catalogue entry and group
+// up to it is in the snapshot.
+func (m *Machine) inForce() uint64 { return min(m.complete, m.objects.highest) }
+
+// report tells the watcher what is in force here, when that changed, when the
+// watcher changed, and from time to time.
+func (m *Machine) report() {
+	if !m.self.announced || m.ring.watcher == "" {
+		return
+	}
+	changed := m.status.unreported && m.complete >= m.objects.highest && !m.snapshot.dirty(true)
+	moved := m.ring.watcher != m.status.reportedTo
+	if !changed && !moved && m.now < m.status.reportDue {
+		return
+	}
+	m.status.unreported = m.status.unreported && !changed
+	m.status.reportedTo = m.ring.watcher
+	m.status.reportDue = m.now + m.jitter(m.opts.ReportRefresh)
+	r := Report{Revision: m.inForce(), Invalid: m.objects.invalid()}
+	if m.watcher() {
+		m.reported(m.cfg.Self.ID, r)
+		return
+	}
+	m.notify([]string{m.ring.watcher}, peer.MethodStatus, r)
+}
+
+// reported takes a VM's report in.
+func (m *Machine) reported(from string, r Report) {
+	old, known := m.status.reports[from]
+	if known && r.Revision == old.Revision && slices.Equal(r.Invalid, old.Invalid) {
+		return
+	}
+	m.status.reports[from] = r
+	m.markStatusDirty()
+}
+
+func (m *Machine) markStatusDirty() {
+	if !m.status.dirty {
+		m.status.dirty, m.status.dirtySince = true, m.now
+	}
+}
+
+// reportWhenDue writes the status object once every VM reported what is in force
+// here, or after a delay.
+func (m *Machine) reportWhenDue() {
+	s := &m.status
+	if !s.dirty || !m.watcher() || !m.self.announced || s.write.busy || m.now < s.write.due {
+		return
+	}
+	status := m.dataCentreStatus()
+	if !m.allInForce(status) && m.now-s.dirtySince < m.opts.ReportDelay {
+		return
+	}
+	s.dirty = false
+	if status.Equal(s.written) {
+		return
+	}
+	s.write.busy = true
+	s.writing = status
+	m.emit(WriteStatus{IfVersion: s.version, Status: status})
+}
+
+func (m *Machine) dataCentreStatus() DataCentreStatus {
+	status := DataCentreStatus{DataCentre: m.dataCentre(), Watcher: m.cfg.Self.ID}
+	for _, id := range m.members.serving(m.dataCentre()) {
+		r := m.status.reports[id]
+		status.VMs = append(status.VMs, VMStatus{ID: id, Revision: r.Revision, Invalid: r.Invalid})
+	}
+	sort.Slice(status.VMs, func(i, j int) bool { return status.VMs[i].ID < status.VMs[j].ID })
+	return status
+}
+
+func (m *Machine) allInForce(status DataCentreStatus) bool {
+	for _, vm := range status.VMs {
+		if vm.Revision < m.inForce() {
+			return false
+		}
+	}
+	return true
+}
+
+// statusWritten takes the outcome of a write in.
+func (m *Machine) statusWritten(e StatusWritten) {
+	s := &m.status
+	m.ended(&s.write, e.Err, m.opts.Heartbeat)
+	s.version = e.Version
+	if e.Err != nil {
+		m.markStatusDirty()
+		return
+	}
+	s.written = s.writing
+}
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,294 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretroad/internal/peer"
+	"egretroad/internal/platform"
+	"egretroad/internal/reducer"
+)
+
+// goodInterval is the time between requests for the last valid value of an
+// object that has none in force.
+const goodInterval = 5 * time.Second
+
+// maxSeedFetches is the number of seeds asked for a copy at a time.
+const maxSeedFetches = 2
+
+// syncState is the state of the exchange of objects and members with peers.
+type syncState struct {
+	differs  map[string]time.Duration // since when a peer's digests differ
+	fetching map[string]time.Duration // peers asked for a copy, and when
+	nextSeed time.Duration
+	seedTurn int
+	nextGood time.Duration
+	notice   time.Duration // last log line about waiting
+}
+
+func newSyncState() syncState {
+	return syncState{differs: map[string]time.Duration{}, fetching: map[string]time.Duration{}}
+}
+
+// accept merges records and returns those that were news.
+func (m *Machine) accept(records []ObjectRecord, from string) []ObjectRecord {
+	var news []ObjectRecord
+	for _, r := range records {
+		isNews, changed := m.objects.merge(r, from, m.now)
+		key := objectKey{r.Kind, r.Name}
+		o := m.objects.objects[key]
+		if isNews {
+			news = append(news, o.record)
+			m.status.unreported = true
+		}
+		if isNews && o.fault != nil {
+			m.alarm("object_invalid", "object", key.String(), "version", r.Version, "in_force", o.inForce, "error", o.fault)
+		}
+		if changed {
+			m.inForceChanged(key, o)
+		}
+	}
+	return news
+}
+
+// inForceChanged updates what depends on an object.
+func (m *Machine) inForceChanged(key objectKey, o *object) {
+	m.log("object_in_force", "object", key.String(), "version", o.record.Version, "from", o.from)
+	if key.kind == kindVMs && o.vms != nil {
+		m.members.applyList(o.vms.VMs, m.now)
+		m.refuteList()
+		return
+	}
+	m.snapshot.objectChanged(key)
+}
+
+// refuteList returns at once when the platform's list dropped this VM.
+func (m *Machine) refuteList() {
+	own := m.members.members[m.cfg.Self.ID].record
+	if own.Status == StatusDead && m.self.rejoinAt == 0 {
+		m.rejoin(m.self.incarnation + 1)
+	}
+}
+
+// relay passes news on: to this data centre unless it came from there, and to
+// one VM of each other data centre when it came from the store.
+func (m *Machine) relay(news []ObjectRecord, since, revision uint64, from string) {
+	if len(news) == 0 || m.inOwnDataCentre(from) {
+		return
+	}
+	message := ObjectNews{Since: since, Revision: revision, Objects: news}
+	m.notify(m.others(), peer.MethodObjects, message)
+	if from == fromStore || from == fromWatch {
+		m.notify(m.ring.relays, peer.MethodObjects, message)
+	}
+}
+
+// objectNews takes relayed objects in.
+func (m *Machine) objectNews(from string, n ObjectNews) {
+	m.self.heardAny = m.now
+	since := m.complete
+	news := m.accept(n.Objects, from)
+	if m.Ready() && n.Since <= m.complete && n.Revision > m.complete {
+		m.complete = n.Revision
+	}
+	m.relay(news, min(since, n.Since), n.Revision, from)
+}
+
+// objectChanged takes in an object that another machine read or wrote.
+func (m *Machine) objectChanged(e reducer.ObjectChanged) {
+	r := ObjectRecord{Kind: e.Kind, Name: e.Name, Version: e.Version, Deleted: e.Deleted, Value: e.Value}
+	news := m.accept([]ObjectRecord{r}, e.From)
+	m.relay(news, 0, 0, e.From)
+}
+
+// records converts objects of the store.
+func records(objects []platform.Object) []ObjectRecord {
+	out := make([]ObjectRecord, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, ObjectRecord{Kind: o.Kind, Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: o.Value})
+	}
+	return out
+}
+
+// compare notes whether a peer's digests differ from the own ones. With equal
+// objects the peer's completeness holds here too.
+func (m *Machine) compare(from string, h Heartbeat) {
+	if h.Objects == m.objects.digest && h.Complete > m.complete {
+		m.complete = h.Complete
+	}
+	if h.Objects == m.objects.digest && h.Members == m.members.sum() {
+		delete(m.sync.differs, from)
+		return
+	}
+	if _, known := m.sync.differs[from]; !known {
+		m.sync.differs[from] = m.now
+	}
+}
+
+// fetchWhenDue asks a peer whose digests have differed for a while, one at a time.
+func (m *Machine) fetchWhenDue() {
+	for vm, at := range m.sync.fetching {
+		if m.now-at > m.opts.FetchTimeout {
+			delete(m.sync.fetching, vm)
+		}
+	}
+	if !m.Ready() {
+		m.noticeWaiting()
+		if m.now >= m.sync.nextSeed {
+			m.fetchFromSeeds()
+		}
+		return
+	}
+	if len(m.sync.fetching) > 0 {
+		return
+	}
+	var due []string
+	for vm, since := range m.sync.differs {
+		if known := m.members.members[vm]; known == nil || !known.serves() {
+			delete(m.sync.differs, vm)
+			continue
+		}
+		if m.now-since >= m.opts.FetchDelay {
+			due = append(due, vm)
+		}
+	}
+	if len(due) > 0 {
+		m.fetch(m.oneOf(due))
+		return
+	}
+	m.fetchGood()
+}
+
+// fetchGood asks a peer for the last valid value of objects that have none in
+// force here. Digests do not show the difference, as the newest version is the same.
+func (m *Machine) fetchGood() {
+	buckets := m.objects.unserved()
+	peers := m.ring.targets
+	if len(peers) == 0 {
+		peers = m.ring.far
+	}
+	if len(buckets) == 0 || len(peers) == 0 || m.now < m.sync.nextGood {
+		return
+	}
+	m.sync.nextGood = m.now + m.jitter(goodInterval)
+	vm := m.oneOf(peers)
+	request := m.fetchRequest()
+	for _, b := range buckets {
+		request.Objects[b] = ^m.objects.buckets[b]
+	}
+	m.sync.fetching[vm] = m.now
+	m.emit(FetchCopy{From: vm, Request: request})
+}
+
+// oneOf picks a VM, another one each time.
+func (m *Machine) oneOf(vms []string) string {
+	sort.Strings(vms)
+	m.salt++
+	return vms[int(m.salt)%len(vms)]
+}
+
+func (m *Machine) fetchRequest() FetchRequest {
+	return FetchRequest{Objects: append([]uint64(nil), m.objects.buckets[:]...), Members: m.members.sum()}
+}
+
+func (m *Machine) fetch(vm string) {
+	delete(m.sync.differs, vm)
+	m.sync.fetching[vm] = m.now
+	m.emit(FetchCopy{From: vm, Request: m.fetchRequest()})
+}
+
+// fetchFromSeeds asks some known VMs for a copy while this VM has none.
+func (m *Machine) fetchFromSeeds() {
+	m.sync.nextSeed = m.now + m.jitter(time.Second)
+	seeds := m.seeds()
+	for i := 0; i < maxSeedFetches && i < len(seeds); i++ {
+		vm := seeds[(m.sync.seedTurn+i)%len(seeds)]
+		if _, busy := m.sync.fetching[vm]; !busy {
+			m.fetch(vm)
+		}
+	}
+	m.sync.seedTurn += maxSeedFetches
+}
+
+// seeds returns the VMs of the settings and of the platform's list, this data
+// centre's first, in an order that differs between VMs.
+func (m *Machine) seeds() []string {
+	dc := map[string]string{}
+	for _, vm := range m.cfg.Seeds {
+		dc[vm.ID] = vm.DataCentre
+	}
+	for id, x := range m.members.members {
+		if x.vm.ID != "" {
+			dc[id] = x.vm.DataCentre
+		}
+	}
+	delete(dc, m.cfg.Self.ID)
+	ids := make([]string, 0, len(dc))
+	for id := range dc {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	sort.Slice(ids, func(i, j int) bool {
+		return xxhash.Sum64String(m.cfg.Self.ID+ids[i]) < xxhash.Sum64String(m.cfg.Self.ID+ids[j])
+	})
+	sort.SliceStable(ids, func(i, j int) bool {
+		return dc[ids[i]] == m.dataCentre() && dc[ids[j]] != m.dataCentre()
+	})
+	return ids
+}
+
+// noticeWaiting says what a VM without catalogue waits for.
+func (m *Machine) noticeWaiting() {
+	if m.now-m.sync.notice < m.opts.WaitingNotice {
+		return
+	}
+	m.sync.notice = m.now
+	m.alarm("waiting_for_catalogue", "store", m.store.describe(), "peers_known", len(m.seeds()))
+}
+
+// peerFetched takes a peer's copy in.
+func (m *Machine) peerFetched(e PeerFetched) {
+	delete(m.sync.fetching, e.From)
+	if e.Err != nil {
+		m.log("fetch_failed", "from", e.From, "error", e.Err)
+		return
+	}
+	since := m.complete
+	news := m.accept(e.Reply.Objects, e.From)
+	if !m.Ready() && e.Reply.Complete > 0 {
+		m.complete = e.Reply.Complete
+		m.log("catalogue_from_peer", "from", e.From, "revision", e.Reply.Complete)
+	}
+	for _, r := range e.Reply.Members {
+		m.merge(r, e.From)
+	}
+	if !m.Ready() && len(news) > 0 {
+		m.fetch(e.From)
+		return
+	}
+	if len(news) <= maxRelayedObjects {
+		m.relay(news, since, since, e.From)
+	}
+}
+
+// maxRelayedObjects bounds what a VM passes on from another data centre's copy;
+// a larger difference spreads by fetches.
+const maxRelayedObjects = 100
+
+// peerAsked answers a peer's fetch.
+func (m *Machine) peerAsked(e PeerAsked) {
+	reply := FetchReply{}
+	if m.Ready() {
+		var more bool
+		reply.Objects, more = m.objects.differing(e.Request.Objects)
+		if !more {
+			reply.Complete = m.complete
+		}
+		if e.Request.Members != m.members.sum() {
+			reply.Members = m.members.records()
+		}
+	}
+	m.emit(AnswerFetch{Ask: e.Ask, Reply: reply})
+}
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -16,7 +16,8 @@
 	KindCatalogue = "catalogue" // value: catalogue.Entry
 	KindGroup     = "group"     // value: topology.Group; name: the database
 	KindLease     = "lease"     // value: authority.LeaseObject; name: the data centre
-	KindStatus    = "status"    // value: status of the fleet, for operators
+	KindStatus    = "status"    // value: status of a data centre, for operators; name: the data centre
+	KindHistory   = "history"   // value: operate.History, the changes of one catalogue entry; name: the entry
 )
 
 // Paths of the API. Objects are at PathObjects + kind + "/" + name.
@@ -25,7 +26,7 @@
 //	GET    /v1/objects/{kind}/{name}               Object, or 404
 //	PUT    /v1/objects/{kind}/{name}               body PutRequest; Object, or 409 with the current Object (a zero Object when it does not exist)
 //	DELETE /v1/objects/{kind}/{name}?ifVersion=N   Object, or 409
-//	GET    /v1/watch?since=REV&waitMs=N            WatchReply, or 410 when REV is no longer kept
+//	GET    /v1/watch?since=REV&waitMs=N&kinds=A,B  WatchReply, or 410 when REV is no longer kept; without kinds: every kind
 //	GET    /v1/vms                                 VMList, which lags
 const (
 	PathObjects = "/v1/objects/"
