Fuzz the control machine; a lagging peer does not bring deleted objects back

Change: a record of an unknown object at or below the complete revision counts as its deletion; relayed lists complete nobody.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -102,10 +102,13 @@
 	before := s.nodes["vm-0-0"].highest["catalogue/"+name]
 	s.store.putRaw(platform.KindCatalogue, name, []byte(`{"name":"`+name+`","newField":1}`))
 	s.advance(time.Second)
-	fresh := s.start(s.nodes["vm-1-1"].vm)
+	fromStore := s.start(s.nodes["vm-1-1"].vm)
+	s.advance(3 * time.Second)
 	s.store.down = true
+	s.seeds = []topology.VM{simVM(0, 0)}
+	fromPeer := s.start(s.nodes["vm-2-1"].vm)
 	s.advance(3 * time.Second)
-	for _, n := range []*node{s.nodes["vm-0-0"], fresh} {
+	for _, n := range []*node{s.nodes["vm-0-0"], fromStore, fromPeer} {
 		_, known := n.snapshot.Catalogue.Entry(name)
 		g.Expect(known).To(BeTrue(), n.vm.ID)
 		g.Expect(n.highest["catalogue/"+name]).To(Equal(before), n.vm.ID)
--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,137 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"egretroad/internal/platform"
+	"egretroad/internal/topology"
+)
+
+const fuzzSeed = "20261204"
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	if !given["rapid.seed"] {
+		_ = flag.Set("rapid.seed", fuzzSeed)
+	}
+	if !given["rapid.checks"] {
+		_ = flag.Set("rapid.checks", "25")
+	}
+	os.Exit(m.Run())
+}
+
+// fuzzed applies random faults and changes to a simulated fleet.
+type fuzzed struct {
+	*sim
+	databases int
+	extra     int // VMs started under new IDs
+}
+
+func (f *fuzzed) pick(t *rapid.T, keep func(*node) bool) *node {
+	var ids []string
+	for _, id := range f.order {
+		if keep(f.nodes[id]) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		t.Skip("no such VM")
+	}
+	return f.nodes[rapid.SampledFrom(ids).Draw(t, "vm")]
+}
+
+func (f *fuzzed) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"edit": func(t *rapid.T) {
+			e := simEntry(rapid.IntRange(0, f.databases-1).Draw(t, "database"))
+			e.MaxConcurrent = rapid.IntRange(1, 100).Draw(t, "limit")
+			f.store.put(platform.KindCatalogue, e.Name, e)
+		},
+		"delete": func(t *rapid.T) {
+			f.store.delete(platform.KindCatalogue, simEntry(rapid.IntRange(0, f.databases-1).Draw(t, "database")).Name)
+		},
+		"invalid": func(t *rapid.T) {
+			name := simDatabase(rapid.IntRange(0, f.databases-1).Draw(t, "database"))
+			f.store.putRaw(platform.KindGroup, name, []byte(`{"database":"`+name+`","future":true}`))
+		},
+		"term": func(t *rapid.T) {
+			i := rapid.IntRange(0, f.databases-1).Draw(t, "database")
+			group := simGroup(i, 3)
+			group.Term = f.store.revision
+			f.store.put(platform.KindGroup, group.Database, group)
+		},
+		"crash":   func(t *rapid.T) { f.pick(t, func(n *node) bool { return n.up }).up = false },
+		"restart": func(t *rapid.T) { f.start(f.pick(t, func(n *node) bool { return !n.up }).vm) },
+		"pause":   func(t *rapid.T) { f.pick(t, func(n *node) bool { return n.up && !n.paused }).paused = true },
+		"resume":  func(t *rapid.T) { f.resume(f.pick(t, func(n *node) bool { return n.up && n.paused })) },
+		"replace": func(t *rapid.T) {
+			old := f.pick(t, func(n *node) bool { return n.up })
+			f.replace(old)
+		},
+		"cut":       func(t *rapid.T) { f.cut[fmt.Sprintf("dc%d", rapid.IntRange(0, 2).Draw(t, "dc"))] = true },
+		"heal":      func(*rapid.T) { f.cut = map[string]bool{} },
+		"storeDown": func(*rapid.T) { f.store.down = true },
+		"storeUp":   func(*rapid.T) { f.store.down = false },
+		"time": func(t *rapid.T) {
+			f.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * simTick)
+		},
+	}
+}
+
+// replace ends a VM for good and starts another in its data centre.
+func (f *fuzzed) replace(old *node) {
+	old.up = false
+	f.extra++
+	vm := old.vm
+	vm.ID = fmt.Sprintf("vm-new-%d", f.extra)
+	vms := []topology.VM{vm}
+	for _, other := range f.store.vms {
+		if other.ID != old.vm.ID {
+			vms = append(vms, other)
+		}
+	}
+	f.store.setVMs(vms)
+	f.start(vm)
+}
+
+// endFaults ends every fault and restores valid objects.
+func (f *fuzzed) endFaults() {
+	f.cut = map[string]bool{}
+	f.store.down = false
+	for i := range f.databases {
+		f.store.put(platform.KindGroup, simDatabase(i), simGroup(i, 3))
+	}
+	for _, vm := range f.store.vms {
+		n := f.nodes[vm.ID]
+		if !n.up {
+			f.start(vm)
+		}
+		f.resume(f.nodes[vm.ID])
+	}
+}
+
+// Versions in force never fall on a running process; once faults end, every VM
+// holds the store's newest objects and all agree on one live home per server.
+func TestFuzzFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fuzzed{sim: newSim(3, rapid.IntRange(1, 4).Draw(t, "vms"), 5, t.Fatalf), databases: 5}
+		f.seeds = []topology.VM{simVM(0, 0), simVM(1, 0), simVM(2, 0)}
+		f.startAll()
+		f.advance(2 * time.Second)
+		t.Repeat(f.actions())
+		f.endFaults()
+		f.advance(45 * time.Second)
+		if err := agreed(f.sim); err != nil {
+			t.Fatalf("after faults ended: %v", err)
+		}
+	})
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -102,7 +102,8 @@
 }
 
 // objectsListed takes a complete list in: known objects that it lacks were
-// deleted at its revision at the latest.
+// deleted at its revision at the latest. A list does not show deletions to those
+// that have other objects, so what is relayed of it completes nobody.
 func (m *Machine) objectsListed(e ObjectsListed) {
 	c := &m.store.catalogue
 	if e.Kind == platform.KindGroup {
@@ -112,7 +113,7 @@
 	if e.Err != nil {
 		return
 	}
-	since := m.complete
+	wasReady := m.Ready()
 	news := m.accept(records(e.List.Objects), fromStore)
 	news = append(news, m.accept(m.missingFrom(e), fromStore)...)
 	if m.store.listed == nil {
@@ -120,8 +121,8 @@
 	}
 	m.store.listed[e.Kind] = e.List.Revision
 	m.listsComplete()
-	if m.Ready() {
-		m.relay(news, since, m.complete, fromStore)
+	if wasReady && len(news) <= maxRelayedObjects {
+		m.relay(news, 0, 0, fromStore)
 	}
 }
 
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -36,6 +36,7 @@
 func (m *Machine) accept(records []ObjectRecord, from string) []ObjectRecord {
 	var news []ObjectRecord
 	for _, r := range records {
+		r = m.deletedMeanwhile(r)
 		isNews, changed := m.objects.merge(r, from, m.now)
 		key := objectKey{r.Kind, r.Name}
 		o := m.objects.objects[key]
@@ -53,6 +54,17 @@
 	return news
 }
 
+// deletedMeanwhile turns a record of an object that is not known here into its
+// deletion, when every object up to the record's version is known: a peer that
+// missed the deletion must not bring the object back.
+func (m *Machine) deletedMeanwhile(r ObjectRecord) ObjectRecord {
+	_, known := m.objects.objects[objectKey{r.Kind, r.Name}]
+	if known || r.Kind == kindVMs || r.Version > m.complete {
+		return r
+	}
+	return ObjectRecord{Kind: r.Kind, Name: r.Name, Version: m.complete, Deleted: true}
+}
+
 // inForceChanged updates what depends on an object.
 func (m *Machine) inForceChanged(key objectKey, o *object) {
 	m.log("object_in_force", "object", key.String(), "version", o.record.Version, "from", o.from)
@@ -255,7 +267,6 @@
 		m.log("fetch_failed", "from", e.From, "error", e.Err)
 		return
 	}
-	since := m.complete
 	news := m.accept(e.Reply.Objects, e.From)
 	if !m.Ready() && e.Reply.Complete > 0 {
 		m.complete = e.Reply.Complete
@@ -269,7 +280,7 @@
 		return
 	}
 	if len(news) <= maxRelayedObjects {
-		m.relay(news, since, since, e.From)
+		m.relay(news, 0, 0, e.From)
 	}
 }
 
