--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -48,13 +48,37 @@
 }
 
 // Group is the value of the platform object of kind "group": one database with
-// its backend servers and its primary. Term rises with every promotion.
+// its backend servers and its primary. Term rises with every promotion. While a
+// promotion is in progress Promotion is set, Term is the term being established
+// and Primary is empty; Promotion.From names the primary of the earlier term.
 type Group struct {
 	Database  string     `json:"database"`
 	Term      uint64     `json:"term"`
 	Primary   string     `json:"primary"` // server ID
 	Servers   []Server   `json:"servers"`
 	Promotion *Promotion `json:"promotion,omitempty"`
+	// TermStarts lists the last terms, oldest first, with the log position at
+	// which each began. It tells how far a server's log belongs to its term.
+	TermStarts []TermStart `json:"termStarts,omitempty"`
+}
+
+// TermStart is the log position of a primary at its promotion.
+type TermStart struct {
+	Term     uint64 `json:"term"`
+	Position uint64 `json:"position"`
+}
+
+// LogTerm returns the term of the last log that a server certainly has: a
+// server that follows a new primary has the primary's term at once, but its log
+// belongs to that term only from the term's start on. It is 0 before any promotion.
+func (g *Group) LogTerm(s ServerStatus) uint64 {
+	var term uint64
+	for _, start := range g.TermStarts {
+		if start.Term <= s.Term && start.Position <= s.Position && start.Term > term {
+			term = start.Term
+		}
+	}
+	return term
 }
 
 // Promotion records a promotion in progress, so that any proxy can resume it.
@@ -63,7 +87,10 @@
 	Term        uint64 `json:"term"`        // the term being established
 	Step        string `json:"step"`
 	Reason      string `json:"reason"`
+	From        string `json:"from,omitempty"`      // server ID of the replaced primary; empty: none
+	FromTerm    uint64 `json:"fromTerm,omitempty"`  // term of the replaced primary
 	Candidate   string `json:"candidate,omitempty"` // server ID
+	Position    uint64 `json:"position,omitempty"`  // log position of the candidate
 }
 
 // Server returns the server with the given ID.
@@ -98,6 +125,7 @@
 	Lag        time.Duration `json:"lag" msgpack:"l"`      // measured staleness; zero on a primary
 	Reachable  bool          `json:"reachable" msgpack:"u"`
 	ObservedAt time.Duration `json:"observedAt" msgpack:"o"`
+	Dropped    uint64        `json:"dropped,omitempty" msgpack:"x,omitempty"` // bytes of log dropped; set by AdminFollow only
 }
 
 // Covers reports whether a read on a server with this status sees mark m. A
