--- a/internal/standin/objectapi/handlers.go
+++ b/internal/standin/objectapi/handlers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"egretroad/internal/platform"
@@ -204,10 +205,14 @@
 	if err != nil || waitMS < 0 {
 		return refusal(http.StatusBadRequest, "waitMs is not a number of milliseconds")
 	}
+	var kinds []string
+	if list := query.Get("kinds"); list != "" {
+		kinds = strings.Split(list, ",")
+	}
 	timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
 	for {
-		reply, next, kept := s.store.since(since)
+		reply, next, kept := s.store.since(since, kinds)
 		if !kept {
 			return refusal(http.StatusGone, "revision is no longer kept")
 		}
--- a/internal/standin/objectapi/objectapi_test.go
+++ b/internal/standin/objectapi/objectapi_test.go
@@ -117,6 +117,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(replies, patience).Should(Receive(&reply))
 	g.Expect(reply.Revision).To(Equal(uint64(4)))
+	g.Expect(call(s, "GET", "/v1/watch?since=0&waitMs=1&kinds=y,z", nil, &reply)).To(Equal(200))
+	g.Expect(reply).To(Equal(platform.WatchReply{Revision: 4, Objects: []platform.Object{}}))
 	s.Compact()
 	g.Expect(call(s, "GET", "/v1/watch?since=1&waitMs=0", nil, nil)).To(Equal(410))
 	g.Expect(call(s, "GET", "/v1/watch?since=4&waitMs=1", nil, &reply)).To(Equal(200))
--- a/internal/standin/objectapi/store.go
+++ b/internal/standin/objectapi/store.go
@@ -1,6 +1,7 @@
 package objectapi
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -90,10 +91,10 @@
 	s.changes = append([]platform.Object(nil), s.changes[n:]...)
 }
 
-// since returns the objects changed after a revision, each in its latest
-// state, and a channel that is closed at the next change. It returns false
-// when the revision is no longer kept.
-func (s *store) since(revision uint64) (platform.WatchReply, <-chan struct{}, bool) {
+// since returns the objects of the given kinds (none: all) changed after a
+// revision, each in its latest state, and a channel that is closed at the next
+// change. It returns false when the revision is no longer kept.
+func (s *store) since(revision uint64, kinds []string) (platform.WatchReply, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision < s.compacted || revision > s.revision {
@@ -106,6 +107,9 @@
 	}
 	reply := platform.WatchReply{Revision: s.revision, Objects: []platform.Object{}}
 	for _, o := range s.changes[first:] {
+		if len(kinds) > 0 && !slices.Contains(kinds, o.Kind) {
+			continue
+		}
 		if latest[objectKey{o.Kind, o.Name}] == o.Version {
 			reply.Objects = append(reply.Objects, o)
 		}
