--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 )
 
 // PlatformNumber is the third octet of the platform's addresses.
@@ -14,6 +15,7 @@
 
 // Network says which data centres are cut off. Safe for concurrent use.
 type Network struct {
+	anyCut  atomic.Bool // false while nothing is cut, to keep Blocked cheap
 	mu      sync.Mutex
 	numbers map[string]int
 	cut     map[int]bool
@@ -73,12 +75,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut, n.pairs = map[int]bool{}, map[[2]int]bool{}
+	n.anyCut.Store(false)
 	n.wake()
 }
 
 // Blocked reports whether no packet passes between two addresses now.
 // Addresses outside the deployment's data centres reach everything.
 func (n *Network) Blocked(a, b netip.Addr) bool {
+	if !n.anyCut.Load() {
+		return false
+	}
 	x, y := number(a), number(b)
 	if x == 0 || y == 0 || x == y {
 		return false
@@ -103,6 +109,7 @@
 		return &UnknownDataCentreError{Name: dc}
 	}
 	f(x)
+	n.anyCut.Store(true)
 	n.wake()
 	return nil
 }
--- a/internal/standin/pgserver/execute.go
+++ b/internal/standin/pgserver/execute.go
@@ -153,6 +153,7 @@
 		return nil, errRoleChanged
 	}
 	s.advance(time.Now())
+	s.countRead()
 	r := &result{columns: st.columns()}
 	switch st.kind {
 	case kindSelectValue:
@@ -173,6 +174,15 @@
 	return r, nil
 }
 
+// countRead counts a read by the server's role. Caller holds Group.mu.
+func (s *Server) countRead() {
+	if s.role == rolePrimary {
+		s.stats.primaryReads.Add(1)
+		return
+	}
+	s.stats.replicaReads.Add(1)
+}
+
 // visible returns all rows as the transaction sees them. Caller holds Group.mu.
 func (s *Server) visible(t *transaction) map[string]string {
 	if len(t.writes) == 0 {
--- a/internal/standin/pgserver/group.go
+++ b/internal/standin/pgserver/group.go
@@ -39,6 +39,7 @@
 	rng       *rand.Rand
 	recording atomic.Bool
 	history   []StatementEvent
+	commits   []*record      // every commit on any server, while recording
 	promoted  map[uint64]int // promotions by term
 }
 
--- a/internal/standin/pgserver/history.go
+++ b/internal/standin/pgserver/history.go
@@ -29,6 +29,8 @@
 	Position uint64
 	At       time.Time
 	Changes  []Change
+	// Surviving reports whether the commit is in the log of the present primary.
+	Surviving bool
 }
 
 // SetRecording switches the record of statements and commits on or off.
@@ -67,12 +69,32 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.advance(time.Now())
+	return exportCommits(s.log, func(*record) bool { return true })
+}
+
+// AllCommits returns every commit that was recorded on any server, also those
+// whose log was dropped by a promotion.
+func (g *Group) AllCommits() []Commit {
+	p := g.Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	surviving := make(map[*record]struct{}, len(p.log))
+	for _, r := range p.log {
+		surviving[r] = struct{}{}
+	}
+	return exportCommits(g.commits, func(r *record) bool {
+		_, ok := surviving[r]
+		return ok
+	})
+}
+
+func exportCommits(log []*record, survives func(*record) bool) []Commit {
 	var all []Commit
-	for _, r := range s.log {
+	for _, r := range log {
 		if r.xid == 0 {
 			continue
 		}
-		c := Commit{Term: r.term, XID: r.xid, Position: r.end, At: r.at}
+		c := Commit{Term: r.term, XID: r.xid, Position: r.end, At: r.at, Surviving: survives(r)}
 		for _, ch := range r.changes {
 			c.Changes = append(c.Changes, Change{Key: ch.key, Value: ch.new})
 		}
--- a/internal/standin/pgserver/slots.go
+++ b/internal/standin/pgserver/slots.go
@@ -59,6 +59,9 @@
 	commits     atomic.Int64
 	cancels     atomic.Int64
 	commitCuts  atomic.Int64
+	// reads on kv by the server's role at the time
+	primaryReads atomic.Int64
+	replicaReads atomic.Int64
 }
 
 // Stats are a server's totals since its start.
@@ -72,6 +75,8 @@
 	OverSlot       int64 // statements that had to wait for a slot
 	Cancels        int64 // cancel requests that met their connection
 	CommitCuts     int64 // connections dropped in the middle of a commit
+	PrimaryReads   int64 // reads on kv while the server was the primary
+	ReplicaReads   int64 // reads on kv while it was not
 	DroppedBytes   uint64
 	OpenWriters    int // open transactions with a transaction ID
 	Position, Term uint64
@@ -91,6 +96,8 @@
 		OverSlot:      s.slots.overSlot.Load(),
 		Cancels:       s.stats.cancels.Load(),
 		CommitCuts:    s.stats.commitCuts.Load(),
+		PrimaryReads:  s.stats.primaryReads.Load(),
+		ReplicaReads:  s.stats.replicaReads.Load(),
 		DroppedBytes:  s.dropped,
 		OpenWriters:   len(s.active),
 		Position:      s.position,
--- a/internal/standin/pgserver/transaction.go
+++ b/internal/standin/pgserver/transaction.go
@@ -138,7 +138,10 @@
 	for _, key := range t.order {
 		changes = append(changes, change{key: key, new: t.writes[key]})
 	}
-	s.appendRecord(t.xid, changes, time.Now())
+	r := s.appendRecord(t.xid, changes, time.Now())
+	if s.group.recording.Load() {
+		s.group.commits = append(s.group.commits, r)
+	}
 	s.wakeFollowers()
 	s.stats.commits.Add(1)
 	return nil
