--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -7,8 +7,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretroad/internal/peer"
 	"egretroad/internal/reducer"
 )
@@ -199,12 +197,6 @@
 	return d*3/4 + d/2*draw/steps
 }
 
-// phase returns where in an interval this VM's first timer falls, so that VMs
-// started together do not act together.
-func (m *Machine) phase(interval time.Duration) time.Duration {
-	return time.Duration(xxhash.Sum64String(m.cfg.Self.ID) % uint64(interval))
-}
-
 func (m *Machine) dataCentre() string { return m.cfg.Self.DataCentre }
 
 // others returns the other VMs of this data centre that are thought to answer.
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -78,7 +78,6 @@
 	machine  *control.Machine
 	up       bool
 	paused   bool
-	offset   time.Duration // its BOOTTIME minus the simulation's
 	snapshot *topology.Snapshot
 	ready    bool
 	watch    *control.WatchObjects // waiting
