--- a/internal/authority/promotion.go
+++ b/internal/authority/promotion.go
@@ -28,6 +28,7 @@
 	m         *Machine
 	db        string
 	reason    string
+	term      uint64 // the term that fenced and promoted refer to
 	startedAt time.Duration
 	step      string
 	stepAt    time.Duration
@@ -45,7 +46,7 @@
 func newPromotion(f *failover, db string) *promotion {
 	record := f.m.groups[db].group.Promotion
 	p := &promotion{
-		f: f, m: f.m, db: db, reason: record.Reason, startedAt: f.m.now,
+		f: f, m: f.m, db: db, reason: record.Reason, term: record.Term, startedAt: f.m.now,
 		running: map[string]bool{}, nextTry: map[string]time.Duration{}, caughtUp: map[string]topology.ServerStatus{},
 	}
 	p.revocation = newRevocation(p, record)
@@ -70,11 +71,9 @@
 
 // groupChanged takes in a new version of the group, still coordinated here.
 func (p *promotion) groupChanged(record *topology.Promotion) {
-	for server := range p.fenced {
-		if p.fenced[server].Fence != record.Term {
-			p.resetFence()
-			break
-		}
+	if record.Term != p.term {
+		p.term = record.Term
+		p.resetFence()
 	}
 }
 
@@ -159,7 +158,7 @@
 }
 
 func (p *promotion) fenceServer(server string) {
-	if _, done := p.fenced[server]; done || server == "" || p.m.opts.unsafeSkipFence {
+	if _, done := p.fenced[server]; done || server == "" || p.skipsFence(server) {
 		return
 	}
 	p.admin(server, txn.AdminFence, p.onFenced)
@@ -196,6 +195,11 @@
 	return p.m.now >= p.majorityAt+p.m.opts.FenceGrace || p.onlyUnreachableLeft()
 }
 
+// skipsFence reports whether a test leaves a server unfenced.
+func (p *promotion) skipsFence(server string) bool {
+	return p.m.opts.unsafeSkipFence && server != p.record().Candidate
+}
+
 // useEvidence takes reported positions in place of fenced ones. It exists for
 // the test that shows that the fence is needed.
 func (p *promotion) useEvidence() bool {
@@ -274,6 +278,11 @@
 		p.giveUpCandidate()
 		return
 	}
+	if p.m.opts.unsafeSkipFence && p.fenced[p.record().Candidate].Fence != p.record().Term {
+		delete(p.fenced, p.record().Candidate)
+		p.fenceServer(p.record().Candidate)
+		return
+	}
 	p.admin(p.record().Candidate, txn.AdminPromote, p.onPromoted)
 }
 
