--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,166 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"egretroad/internal/control"
+	"egretroad/internal/peer"
+	"egretroad/internal/platform"
+	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
+)
+
+// benchSize is a fleet: VMs spread over data centres, databases of three servers.
+type benchSize struct{ dataCentres, vms, databases int }
+
+// benchSizes grow from a deployment of today to the target's 510 VMs and 790
+// databases (2,370 servers).
+var benchSizes = []benchSize{{3, 9, 3}, {3, 32, 30}, {7, 128, 200}, {7, 510, 790}}
+
+func (s benchSize) String() string {
+	return fmt.Sprintf("vms=%d/servers=%d", s.vms, 3*s.databases)
+}
+
+// benchMachine returns a ready machine of one VM of the fleet.
+func benchMachine(b *testing.B, size benchSize) (*control.Machine, []topology.VM, time.Duration) {
+	b.Helper()
+	vms := make([]topology.VM, 0, size.vms)
+	for i := range size.vms {
+		vms = append(vms, simVM(i%size.dataCentres, i/size.dataCentres))
+	}
+	now := time.Hour
+	m := control.New(control.Config{Options: control.DefaultOptions(), Self: vms[0], Incarnation: 1})
+	m.Step(reducer.Tick{Now: now})
+	m.Step(control.VMsListed{List: platform.VMList{Revision: 1, VMs: vms}})
+	m.Step(control.ObjectsListed{Kind: platform.KindCatalogue, List: benchList(b, platform.KindCatalogue, size, func(i int) (string, any) { e := simEntry(i); return e.Name, e })})
+	m.Step(control.ObjectsListed{Kind: platform.KindGroup, List: benchList(b, platform.KindGroup, size, func(i int) (string, any) { g := simGroup(i, size.dataCentres); return g.Database, g })})
+	if !m.Ready() {
+		b.Fatal("machine is not ready")
+	}
+	return m, vms, now
+}
+
+func benchList(b *testing.B, kind string, size benchSize, object func(i int) (string, any)) platform.ObjectList {
+	b.Helper()
+	l := platform.ObjectList{Revision: uint64(2*size.databases + 1)}
+	for i := range size.databases {
+		name, value := object(i)
+		raw, err := json.Marshal(value)
+		if err != nil {
+			b.Fatal(err)
+		}
+		l.Objects = append(l.Objects, platform.Object{Kind: kind, Name: name, Version: uint64(i + 1), Value: raw})
+	}
+	return l
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, size benchSize)) {
+	for _, size := range benchSizes {
+		b.Run(size.String(), func(b *testing.B) { run(b, size) })
+	}
+}
+
+// BenchmarkHeartbeat is the cost of one peer's heartbeat with equal digests.
+func BenchmarkHeartbeat(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		m, vms, now := benchMachine(b, size)
+		body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1, Complete: 1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		from := vms[size.dataCentres].ID
+		b.ReportAllocs()
+		for b.Loop() {
+			m.Step(reducer.PeerMessage{From: from, Method: peer.MethodHeartbeat, Body: body, Now: now})
+		}
+	})
+}
+
+// BenchmarkTick is the mean cost of a tick, the heartbeats it sends included;
+// the monitored VMs answer in time.
+func BenchmarkTick(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		m, _, now := benchMachine(b, size)
+		body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		monitored := []string{}
+		for _, member := range m.Dump().Members {
+			if member.Monitored {
+				monitored = append(monitored, member.ID)
+			}
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			now += 50 * time.Millisecond
+			m.Step(reducer.Tick{Now: now})
+			if now%(500*time.Millisecond) == 0 {
+				for _, id := range monitored {
+					m.Step(reducer.PeerMessage{From: id, Method: peer.MethodHeartbeat, Body: body, Now: now})
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkGroupChange is the cost of one group's change with its snapshot.
+func BenchmarkGroupChange(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		m, _, now := benchMachine(b, size)
+		g := simGroup(0, size.dataCentres)
+		version := uint64(1 << 20)
+		b.ReportAllocs()
+		for b.Loop() {
+			version++
+			now += 50 * time.Millisecond
+			g.Term = version
+			raw, err := json.Marshal(g)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Step(reducer.Tick{Now: now})
+			m.Step(reducer.ObjectChanged{Kind: platform.KindGroup, Name: g.Database, Version: version, Value: raw, From: "vm-0-1"})
+		}
+	})
+}
+
+// BenchmarkMemberChange is the cost of one VM's death or return: the ring, the
+// homes of its data centre and the snapshot.
+func BenchmarkMemberChange(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		m, vms, now := benchMachine(b, size)
+		vm := vms[len(vms)-size.dataCentres] // of this VM's data centre or a neighbour of it
+		incarnation := uint64(1)
+		b.ReportAllocs()
+		for b.Loop() {
+			incarnation++
+			now += 50 * time.Millisecond
+			record := control.Record{ID: vm.ID, Incarnation: incarnation / 2, Status: control.StatusAlive}
+			if incarnation%2 == 1 {
+				record.Status = control.StatusDead
+			}
+			body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1, Records: []control.Record{record}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Step(reducer.Tick{Now: now})
+			m.Step(reducer.PeerMessage{From: vms[size.dataCentres].ID, Method: peer.MethodHeartbeat, Body: body, Now: now})
+		}
+	})
+}
+
+// BenchmarkStart is the cost of reading everything at the start.
+func BenchmarkStart(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		b.ReportAllocs()
+		for b.Loop() {
+			benchMachine(b, size)
+		}
+	})
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -14,6 +14,9 @@
 // is kept, so that a late message does not bring the VM back.
 const forgetAfter = 10 * time.Minute
 
+// forgetInterval is the time between two searches for such records.
+const forgetInterval = time.Minute
+
 // member is one VM as this VM knows it.
 type member struct {
 	record  Record
@@ -43,11 +46,12 @@
 
 // memberTable holds what is known of every VM.
 type memberTable struct {
-	members map[string]*member
-	listed  bool // the platform's list has been seen
-	digest  uint64
-	stale   bool            // the digest must be computed again
-	changed map[string]bool // data centres whose live VMs changed since the last snapshot
+	members   map[string]*member
+	listed    bool // the platform's list has been seen
+	digest    uint64
+	stale     bool // the digest must be computed again
+	forgetDue time.Duration
+	changed   map[string]bool // data centres whose live VMs changed since the last snapshot
 }
 
 func newMemberTable() memberTable {
@@ -126,6 +130,10 @@
 
 // forget drops dead VMs that left the platform's list long ago.
 func (t *memberTable) forget(now time.Duration) {
+	if now < t.forgetDue {
+		return
+	}
+	t.forgetDue = now + forgetInterval
 	for id, m := range t.members {
 		if !m.spreads() && now-m.since > forgetAfter {
 			delete(t.members, id)
