Count a primary's failure from its last success; freeze the log of silent stand-ins

Cause: a home needs up to three probes before a failure counted from its first failed probe reaches the threshold. A server that ignores all its clients also ignores the replicas' connections, but the stand-in went on shipping its log. Change: Evidence.FailingFor counts from the last success and grows until better news comes; SilenceAll stops replication from and to the server.

--- a/internal/authority/evidence.go
+++ b/internal/authority/evidence.go
@@ -27,6 +27,7 @@
 type probe struct {
 	status       topology.ServerStatus
 	err          string
+	goodAt       time.Duration // last success; zero: none
 	failingSince time.Duration // zero while probes succeed
 	movedAt      time.Duration // last progress of replication
 	horizon      time.Duration // time up to which everything was applied
@@ -63,6 +64,7 @@
 	b.role = map[string]*contradiction{}
 	for _, p := range b.probes {
 		p.movedAt = b.m.now
+		p.goodAt = 0
 		if p.failingSince > 0 {
 			p.failingSince = b.m.now
 		}
@@ -92,6 +94,9 @@
 func (p *probe) fail(e reducer.ServerObserved) {
 	if p.failingSince == 0 {
 		p.failingSince = e.Now
+		if p.goodAt > 0 {
+			p.failingSince = p.goodAt
+		}
 	}
 	p.err = e.Err
 	if p.err == "" {
@@ -110,6 +115,7 @@
 		p.movedAt = e.Now
 	}
 	p.succeeded = true
+	p.goodAt = e.Now
 	p.status = e.Status
 	p.err, p.failingSince = "", 0
 }
@@ -191,13 +197,18 @@
 	}
 }
 
-// fresh returns the newest report on a server unless it is too old.
+// fresh returns the newest report on a server unless it is too old. A failure
+// lasts until better news comes.
 func (b *evidenceBook) fresh(server string) (Evidence, bool) {
 	r, ok := b.reports[server]
 	if !ok || b.m.now-r.at > b.m.opts.EvidenceFresh {
 		return Evidence{}, false
 	}
-	return r.evidence, true
+	e := r.evidence
+	if e.Error != "" {
+		e.FailingFor += b.m.now - r.at
+	}
+	return e, true
 }
 
 // reachable returns the fresh evidence on a server that answers its home.
--- a/internal/authority/messages.go
+++ b/internal/authority/messages.go
@@ -29,7 +29,8 @@
 	// Error is a stable word such as "refused" or "timeout"; empty: the last
 	// probe succeeded.
 	Error string `msgpack:"e"`
-	// FailingFor is the time since the first failed probe after the last success.
+	// FailingFor is the time since the last success, or since the first failure
+	// when there was none; zero after a success.
 	FailingFor time.Duration `msgpack:"f"`
 	// StalledFor is the time since the server last applied log or proved that
 	// it had applied all of it.
--- a/internal/authority/options.go
+++ b/internal/authority/options.go
@@ -34,7 +34,8 @@
 	EvidenceInterval time.Duration
 	// EvidenceFresh is the age past which a report is ignored.
 	EvidenceFresh time.Duration
-	// FailAfter is how long a primary must fail its home's probes.
+	// FailAfter is how long a primary must have failed its home's probes, counted
+	// from its last success, while replication stands still.
 	FailAfter time.Duration
 	// RefuseAfter is how long a primary must refuse its home's connections
 	// before replication that goes on no longer counts for it.
@@ -91,7 +92,7 @@
 		StoreRetryMax:        1 * time.Second,
 		EvidenceInterval:     500 * time.Millisecond,
 		EvidenceFresh:        1200 * time.Millisecond,
-		FailAfter:            700 * time.Millisecond,
+		FailAfter:            900 * time.Millisecond,
 		RefuseAfter:          1200 * time.Millisecond,
 		MissingAfter:         1300 * time.Millisecond,
 		StallAfter:           700 * time.Millisecond,
--- a/internal/standin/pgserver/faults.go
+++ b/internal/standin/pgserver/faults.go
@@ -45,8 +45,11 @@
 	}
 }
 
-// SilenceAll makes open and new connections ignore their clients, until EndSilence.
+// SilenceAll makes open and new connections ignore their clients, until
+// EndSilence. Those of replication are among them: no log leaves or reaches the
+// server.
 func (s *Server) SilenceAll() {
+	s.frozen.Store(true)
 	s.mu.Lock()
 	s.silent = true
 	s.mu.Unlock()
@@ -55,6 +58,8 @@
 
 // EndSilence lets new connections work again.
 func (s *Server) EndSilence() {
+	s.frozen.Store(false)
+	defer s.notifyReplication()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = false
--- a/internal/standin/pgserver/replication.go
+++ b/internal/standin/pgserver/replication.go
@@ -79,6 +79,9 @@
 	if p.role != rolePrimary || p.term != s.term {
 		return false
 	}
+	if s.frozen.Load() || p.frozen.Load() {
+		return false
+	}
 	return s.running.Load() && p.running.Load() && !s.group.net.Blocked(p.ip, s.ip)
 }
 
--- a/internal/standin/pgserver/server.go
+++ b/internal/standin/pgserver/server.go
@@ -27,6 +27,7 @@
 	shipping atomic.Bool   // a shipment is on its way
 	closed   chan struct{}
 	running  atomic.Bool
+	frozen   atomic.Bool // ships and takes no log, see SilenceAll
 
 	slots *slots
 	stats counters
