--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -26,6 +26,7 @@
 // counters are the gateway's metrics.
 type counters struct {
 	protocolErrors *expvar.Int
+	panics         *expvar.Int
 	marksLost      *expvar.Int // sessions told that a write is gone
 	positions      *expvar.Int // position queries for arriving sessions
 	retries        *expvar.Int
@@ -64,6 +65,7 @@
 func newCounters(r *metrics.Registry, g *Gateway) *counters {
 	c := &counters{
 		protocolErrors: r.Int(metricsGroup, "protocol_errors"),
+		panics:         r.Int(metricsGroup, "session_panics"),
 		marksLost:      r.Int(metricsGroup, "marks_lost"),
 		positions:      r.Int(metricsGroup, "position_queries"),
 		retries:        r.Int(metricsGroup, "retries"),
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/gomega"
 
@@ -46,16 +48,27 @@
 	}
 }
 
-func newFixture(t *testing.T, change ...func(*Options)) *fixture {
+// newQuietFixture returns a fixture without a listener.
+func newQuietFixture(t *testing.T, change ...func(*Options)) *fixture {
 	f := &fixture{GomegaWithT: NewWithT(t), t: t, home: newFakeHome(), source: topology.NewPublisher(testSnapshot())}
+	t.Cleanup(func() {
+		if n := f.gateway.counters.panics.Value(); n != 0 {
+			t.Errorf("%d sessions panicked", n)
+		}
+	})
 	o := DefaultOptions()
 	o.FleetKey = []byte("fleet key")
 	for _, c := range change {
 		c(&o)
 	}
 	f.gateway = New(o, Deps{
-		Source: f.source, Home: f.home, Log: eventlog.Discard(), Metrics: metrics.NewRegistry(), Now: clock.Boottime,
+		Source: f.source, Home: f.home, Log: eventlog.New(os.Stderr, hclog.Error), Metrics: metrics.NewRegistry(), Now: clock.Boottime,
 	})
+	return f
+}
+
+func newFixture(t *testing.T, change ...func(*Options)) *fixture {
+	f := newQuietFixture(t, change...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.port = l.Addr().(*net.TCPAddr).Port
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -95,6 +96,7 @@
 // serveConn runs one connection until it ends.
 func (g *Gateway) serveConn(conn net.Conn) {
 	w := newWire(g, conn)
+	defer g.contain(w)
 	s, err := g.startSession(w)
 	if err != nil {
 		g.endStartup(w, err)
@@ -104,6 +106,18 @@
 	s.loop()
 }
 
+// contain ends one connection after a fault in the program, so that the others
+// of the proxy go on.
+func (g *Gateway) contain(w *wire) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	g.counters.panics.Add(1)
+	g.deps.Log.Error("session_panic", "caller", w.conn.RemoteAddr(), "fault", fault, "stack", string(debug.Stack()))
+	w.close()
+}
+
 // endStartup reports why a connection did not become a session.
 func (g *Gateway) endStartup(w *wire, err error) {
 	var c *callerError
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -131,7 +131,7 @@
 func (s *session) finish(err error) {
 	var c *callerError
 	if !errors.As(err, &c) {
-		if isConnectionError(err) || isTimeout(err) {
+		if isConnectionError(err) {
 			s.wire.close()
 			return
 		}
--- a/internal/gateway/setting.go
+++ b/internal/gateway/setting.go
@@ -63,31 +63,28 @@
 		c.Transaction = true
 		return c, true
 	}
-	equals := assignment(rest)
-	if equals.length == 0 {
-		return c, false
-	}
-	name, ok := settingName(rest[:equals.at])
+	name, value, ok := assignment(rest)
 	if !ok {
 		return c, false
 	}
 	c.Name = name
-	return c.withValue(rest[equals.at+equals.length:])
+	return c.withValue(value)
 }
 
-// position of the "=" or TO of an assignment.
-type position struct{ at, length int }
-
-func assignment(s string) position {
-	if i := strings.IndexByte(s, '='); i >= 0 {
-		if !strings.Contains(strings.ToUpper(s[:i]), " TO ") {
-			return position{i, 1}
-		}
-	}
-	if i := strings.Index(strings.ToUpper(s), " TO "); i >= 0 {
-		return position{i, len(" TO ")}
-	}
-	return position{}
+// assignment separates "name = value" and "name TO value".
+func assignment(s string) (name, value string, ok bool) {
+	s = skipSpace(s)
+	end := strings.IndexFunc(s, func(r rune) bool { return !isWord(r) && r != '.' && r != '"' })
+	if end < 0 {
+		return "", "", false
+	}
+	name, ok = settingName(s[:end])
+	value = skipSpace(s[end:])
+	if strings.HasPrefix(value, "=") {
+		return name, value[1:], ok
+	}
+	word, after := keyword(value)
+	return name, after, ok && word == "TO"
 }
 
 // settingName checks and folds a possibly quoted name with dots.
@@ -123,6 +120,9 @@
 	if s[0] != '\'' {
 		return s, !strings.ContainsAny(s, "'\x00")
 	}
+	if strings.Count(s, "'")%2 != 0 {
+		return "", false // the literal has no end
+	}
 	if quotedEnd(s) != len(s) {
 		// A list such as 'a', 'b': kept as the server's own list form.
 		return strings.ReplaceAll(s, "'", `"`), !strings.Contains(s, "''") && !strings.Contains(s, `"`)
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"sort"
 	"strings"
 	"time"
@@ -19,7 +18,7 @@
 )
 
 // errCancelServed ends a connection that only carried a cancel request.
-var errCancelServed = &callerClosedError{}
+var errCancelServed = &connectionError{Cause: io.EOF}
 
 // startSession negotiates, authenticates and greets. Errors are *callerError, or
 // of the connection.
@@ -103,18 +102,10 @@
 	return errProtocol(err)
 }
 
-// isConnectionError reports whether err comes from the connection, not from a message.
-func isConnectionError(err error) bool {
-	var ne net.Error
-	var closed *callerClosedError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
-		errors.As(err, &ne) || errors.As(err, &closed) || isSyscall(err)
-}
-
 func (w *wire) answerByte(b byte) error {
 	_ = w.conn.SetWriteDeadline(time.Now().Add(w.gateway.options.StartupTimeout))
 	_, err := w.conn.Write([]byte{b})
-	return err
+	return wrapConnection(err)
 }
 
 // startTLS accepts a TLS request. Bytes sent ahead of the handshake could come
@@ -128,7 +119,7 @@
 	}
 	conn := tls.Server(w.conn, config)
 	if err := conn.Handshake(); err != nil {
-		return err
+		return wrapConnection(err)
 	}
 	w.setConn(conn)
 	return nil
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -80,7 +81,7 @@
 		inputPool.Put(w.input)
 		w.input = nil
 	}
-	if w.backend != nil && !w.startup {
+	if w.backend != nil && !w.startup && w.frame == 0 {
 		w.gateway.backends.Put(w.backend)
 		w.backend = nil
 	}
@@ -93,7 +94,14 @@
 	}
 	n, err := w.readInput()
 	w.end += n
-	return err
+	return wrapConnection(err)
+}
+
+func wrapConnection(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &connectionError{Cause: err}
 }
 
 func (w *wire) readInput() (int, error) {
@@ -138,7 +146,7 @@
 			w.readErr = os.NewSyscallError("read", err)
 			return true
 		case n == 0:
-			w.readErr = errClosed
+			w.readErr = io.EOF
 			return true
 		}
 		w.readCount = n
@@ -146,12 +154,14 @@
 	}
 }
 
-// errClosed reports that the caller closed its connection.
-var errClosed = &callerClosedError{}
+// connectionError reports a connection that ended or failed, as opposed to a
+// message that is wrong.
+type connectionError struct{ Cause error }
 
-type callerClosedError struct{}
+func (e *connectionError) Error() string { return "caller's connection: " + e.Cause.Error() }
 
-func (*callerClosedError) Error() string { return "the caller closed its connection" }
+// Unwrap returns the cause.
+func (e *connectionError) Unwrap() error { return e.Cause }
 
 // wait blocks until at least one byte of a message is there. Idle connections
 // spend their time here.
@@ -216,7 +226,7 @@
 func (w *wire) readDirect(p []byte) (int, error) {
 	n, err := w.conn.Read(p)
 	w.frame -= n
-	return n, err
+	return n, wrapConnection(err)
 }
 
 // beginFrame reads the next message's length and reserves memory for a large one.
@@ -312,6 +322,11 @@
 		msg, err := w.backend.Receive()
 		if err == nil || !isTimeout(err) || w.frameDeadline.IsZero() || time.Now().After(w.frameDeadline) {
 			w.unboundFrame()
+			if err != nil {
+				// The backend may hold a part of the message: it must never
+				// serve another connection.
+				w.backend = nil
+			}
 			return msg, err
 		}
 		_ = w.conn.SetReadDeadline(w.frameDeadline)
@@ -384,7 +399,7 @@
 		outputPool.Put(w.output)
 	}
 	w.output = nil
-	return err
+	return wrapConnection(err)
 }
 
 // closeAfterError ends the connection so that a last error reaches the caller
@@ -416,10 +431,10 @@
 	w.unreserve()
 }
 
-// isSyscall reports whether err comes from a system call.
-func isSyscall(err error) bool {
-	var se *os.SyscallError
-	return errors.As(err, &se)
+// isConnectionError reports whether err comes from the connection, not from a message.
+func isConnectionError(err error) bool {
+	var ce *connectionError
+	return errors.As(err, &ce)
 }
 
 // isTimeout reports whether a read ended because of its deadline.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -39,6 +39,12 @@
 	return g.Server(g.Primary)
 }
 
+// isPrimary reports whether the server is the primary, or was until the
+// promotion in progress.
+func isPrimary(g *topology.Group, id string) bool {
+	return id == g.Primary || (g.Promotion != nil && id == g.Promotion.From)
+}
+
 func noPrimary(g *topology.Group) error {
 	return &outcome.NotRunError{Reason: outcome.ReasonNoPrimary, Detail: "database " + g.Database + " has no primary at the moment"}
 }
@@ -89,7 +95,7 @@
 func (t *Table) weigh(g *topology.Group, self topology.VM, s topology.Server, r Request, now time.Duration) (*candidate, bool) {
 	cost := t.distance(self, s)
 	learned := t.server(s.ID)
-	if s.ID == g.Primary || (g.Promotion != nil && s.ID == g.Promotion.From) {
+	if isPrimary(g, s.ID) {
 		return t.weighPrimary(g, s, learned, cost, now)
 	}
 	if s.State == topology.ServerLeaving {
--- a/internal/routing/next.go
+++ b/internal/routing/next.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	for _, s := range g.Servers {
-		if s.ID != g.Primary && s.State != topology.ServerLeaving && !r.excluded(s.ID) {
+		if !isPrimary(g, s.ID) && s.State != topology.ServerLeaving && !r.excluded(s.ID) {
 			return true
 		}
 	}
