--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -29,15 +29,16 @@
 	Proxies   int    // entry VMs, spread over the data centres
 	FirstPort int    // callers' port of the first proxy; 0 picks free ports
 	Seed      uint64
-	// Scale multiplies the connect delay, the replication lag and the service
-	// time; 1 is the real size, 0 is none.
+	// Scale multiplies the connect delay, the replication lag, the latency
+	// between VMs of different regions and the service time; 1 is the real
+	// size, 0 is none.
 	Scale float64
 	// ServiceTime, when positive, replaces the scaled service time.
 	ServiceTime time.Duration
 	// VMLag is the time after which a change of the VM list is visible.
 	VMLag time.Duration
-	// NoRelays advertises the VMs' own peer listeners; cuts between VMs then
-	// have no effect.
+	// NoRelays advertises the VMs' own peer listeners; between VMs there are
+	// then no cuts and no latency.
 	NoRelays bool
 	// Record keeps every statement and commit for checkers.
 	Record bool
@@ -157,7 +158,7 @@
 		MaxConnections: d.plan.maxConnections,
 		ConnectDelay:   d.scaled(d.plan.connectDelay),
 		ServiceTime:    service,
-		Lag:            d.scaled(d.plan.replicaLag),
+		Lag:            d.scaled(d.plan.regionLatency),
 	}
 }
 
@@ -280,7 +281,8 @@
 	if d.options.NoRelays {
 		return vm, nil
 	}
-	vm.relay, err = relay.Start(net.JoinHostPort(ip, "0"), netip.MustParseAddrPort(peerListen), d.Network)
+	target := netip.MustParseAddrPort(peerListen)
+	vm.relay, err = relay.Start(net.JoinHostPort(ip, "0"), target, d.Network, d.latencyTo(target.Addr()))
 	if err != nil {
 		return VM{}, err
 	}
@@ -288,6 +290,18 @@
 	return vm, nil
 }
 
+// latencyTo returns the one-way latency to an address: each data centre of
+// these deployments is a region of its own.
+func (d *Deployment) latencyTo(target netip.Addr) relay.Delay {
+	oneWay := d.scaled(d.plan.regionLatency) / 2
+	return func(source netip.Addr) time.Duration {
+		if network.SameDataCentre(source, target) {
+			return 0
+		}
+		return oneWay
+	}
+}
+
 // freePort returns an IP:port that nothing listens on.
 func freePort(ip string) (string, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -138,8 +138,14 @@
 }
 
 func TestRelaysHoldBytesWhileCut(t *testing.T) {
+	for name, scale := range map[string]float64{"without latency": 0, "with latency": 0.1} {
+		t.Run(name, func(t *testing.T) { testRelay(t, scale) })
+	}
+}
+
+func testRelay(t *testing.T, scale float64) {
 	g := NewWithT(t)
-	d := start(t, nil)
+	d := start(t, func(o *deployment.Options) { o.Scale = scale })
 	target := d.VMs[1]
 	l, err := net.Listen("tcp", target.PeerListen)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/standin/deployment/plan.go
+++ b/internal/standin/deployment/plan.go
@@ -22,7 +22,7 @@
 	slots          int
 	maxConnections int
 	connectDelay   time.Duration
-	replicaLag     time.Duration // latency between regions
+	regionLatency  time.Duration // there and back between regions; also the replicas' lag
 	serviceTime    time.Duration
 	kinds          []catalogue.Entry // database and name are filled in for each database
 }
@@ -36,7 +36,7 @@
 		slots:          2,
 		maxConnections: 16,
 		connectDelay:   10 * time.Millisecond,
-		replicaLag:     20 * time.Millisecond,
+		regionLatency:  20 * time.Millisecond,
 		serviceTime:    serviceTime,
 		kinds: []catalogue.Entry{
 			{
@@ -67,7 +67,7 @@
 		slots:          5,
 		maxConnections: 55,
 		connectDelay:   30 * time.Millisecond,
-		replicaLag:     20 * time.Millisecond,
+		regionLatency:  20 * time.Millisecond,
 		serviceTime:    serviceTime,
 		kinds: []catalogue.Entry{
 			{
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -94,6 +94,9 @@
 	return n.cut[x] || n.cut[y] || n.pairs[[2]int{x, y}]
 }
 
+// SameDataCentre reports whether two addresses are of one data centre.
+func SameDataCentre(a, b netip.Addr) bool { return number(a) != 0 && number(a) == number(b) }
+
 // Changed returns a channel that is closed at the next cut or heal.
 func (n *Network) Changed() <-chan struct{} {
 	n.mu.Lock()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -17,14 +17,20 @@
 const (
 	bufferBytes = 32 << 10
 	dialTimeout = 5 * time.Second
+	// maxInFlight is the number of chunks that a delayed direction holds.
+	maxInFlight = 1024
 )
 
+// Delay returns the one-way latency between a source and the target.
+type Delay func(source netip.Addr) time.Duration
+
 // Relay forwards connections from its own address to a target. The source VM
 // is known by the address that it dials from. Safe for concurrent use.
 type Relay struct {
 	net      *network.Network
 	listener net.Listener
 	target   netip.AddrPort
+	delay    Delay
 	closed   chan struct{}
 
 	mu    sync.Mutex // guards conns
@@ -43,13 +49,21 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-// Start listens on addr (port 0 picks a free one) and forwards to target.
-func Start(addr string, target netip.AddrPort, links *network.Network) (*Relay, error) {
+// Start listens on addr (port 0 picks a free one) and forwards to target; a nil
+// delay adds no latency.
+func Start(addr string, target netip.AddrPort, links *network.Network, delay Delay) (*Relay, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Addr: addr, Cause: err}
 	}
-	r := &Relay{net: links, listener: l, target: target, closed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	r := &Relay{
+		net:      links,
+		listener: l,
+		target:   target,
+		delay:    delay,
+		closed:   make(chan struct{}),
+		conns:    map[net.Conn]struct{}{},
+	}
 	go r.accept()
 	return r, nil
 }
@@ -128,6 +142,14 @@
 func (r *Relay) forward(to, from net.Conn, source netip.Addr) {
 	defer to.Close()
 	defer from.Close()
+	var latency time.Duration
+	if r.delay != nil {
+		latency = r.delay(source)
+	}
+	if latency > 0 {
+		r.forwardDelayed(to, from, source, latency)
+		return
+	}
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -145,6 +167,53 @@
 	}
 }
 
+// chunk is a run of bytes that may leave at a time.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+// forwardDelayed copies bytes, each after the given latency.
+func (r *Relay) forwardDelayed(to, from net.Conn, source netip.Addr, latency time.Duration) {
+	line := make(chan chunk, maxInFlight)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		r.writeChunks(to, line, source)
+		from.Close()
+	}()
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			c := chunk{due: time.Now().Add(latency), data: append([]byte(nil), buffer[:n]...)}
+			select {
+			case line <- c:
+			case <-written:
+				return
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	close(line)
+	<-written
+}
+
+// writeChunks writes each chunk when it is due.
+func (r *Relay) writeChunks(to net.Conn, line <-chan chunk, source netip.Addr) {
+	for c := range line {
+		time.Sleep(time.Until(c.due))
+		if !r.pass(source) {
+			return
+		}
+		if _, err := to.Write(c.data); err != nil {
+			return
+		}
+	}
+}
+
 // pass waits until source and target reach each other; it returns false when
 // the relay ends.
 func (r *Relay) pass(source netip.Addr) bool {
