Keep requests waiting through a change of primary

Cause: in trial runs of failover over real proxies, 9060 writes with deadline left failed in 64 runs: waiting requests spent the gateway's retry budget at each look at a group without primary, and the home's queue multiplied the time since its last grant by the number of waiting requests, so that a server that hung for a second refused work with five seconds left. Change: an attempt that found no server costs no retry, an empty budget delays a request instead of failing it, and a stall counts once in the expected wait.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -42,8 +42,18 @@
 	s.busy = stillWaiting
 }
 
+// stall returns the time without a grant beyond the expected interval, in
+// seconds. A server that hangs, or that is being replaced, is not taken to go on
+// at that pace.
+func (s *serviceTime) stall(now time.Duration, interval float64) float64 {
+	if !s.busy {
+		return 0
+	}
+	return math.Max(0, (now-s.lastGrant).Seconds()-interval)
+}
+
 // interval returns the expected time between grants, in seconds.
-func (s *serviceTime) interval(now time.Duration, slots int) float64 {
+func (s *serviceTime) interval(slots int) float64 {
 	if slots < 1 {
 		slots = 1
 	}
@@ -51,7 +61,7 @@
 	if !s.busy {
 		return ideal
 	}
-	return math.Max(ideal, math.Max(s.gap, (now-s.lastGrant).Seconds()))
+	return math.Max(ideal, s.gap)
 }
 
 // expectedWait estimates how long new work of the entry would wait. ahead is the
@@ -62,8 +72,8 @@
 	if share := (e.waiting + 1) * max(1, c.eligible.len()); share < ahead {
 		ahead = share
 	}
-	interval := c.service.interval(now, m.size.slotsFor(c.rank))
-	return seconds(float64(ahead+1) * interval), ahead
+	interval := c.service.interval(m.size.slotsFor(c.rank))
+	return seconds(float64(ahead+1)*interval + c.service.stall(now, interval)), ahead
 }
 
 // codel is the controlled-delay state of one class's queue.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -294,7 +294,7 @@
 		return reason == outcome.ReasonBehind || s.spendRetry()
 	case routing.WaitAndRetry:
 		r.excluded = r.excluded[:0]
-		return s.waitForRetry(r) && s.spendRetry()
+		return s.waitForTurn(r)
 	}
 	return false
 }
@@ -330,6 +330,19 @@
 	return true
 }
 
+// waitForTurn waits until the request may be tried again, within its deadline.
+// An attempt that found no server to ask is repeated freely. While the retry
+// budget is empty the request goes on waiting: it has done nothing yet.
+func (s *session) waitForTurn(r *request) bool {
+	for s.waitForRetry(r) {
+		if r.server == "" || s.spendRetry() {
+			return true
+		}
+		r.changed = s.gateway.deps.Source.Changed()
+	}
+	return false
+}
+
 // rankDelay spreads the requests that wake at the same change: the less urgent
 // ones start later.
 const rankDelay = 20 * time.Millisecond
