Add the command line, the wiring of a proxy, the demo and the measure program

Cause: the components need one program. Change: cobra commands, fx wiring with ordered start and stop, operator address, demo over the stand-ins, measure program with process fleet, README and pages.

--- a/cmd/egretroad/main.go
+++ b/cmd/egretroad/main.go
@@ -1,4 +1,10 @@
 // Command egretroad is the database proxy and its operators' client.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"egretroad/internal/cli"
+)
+
+func main() { os.Exit(cli.Main()) }
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/config"
+	"egretroad/internal/platform"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitInvalid     = 2
+	ExitConflict    = 3
+	ExitUnreachable = 4
+	ExitNotInForce  = 5
+)
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	var coded interface{ ExitCode() int }
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	switch {
+	case isA[*UsageError](err), isA[*config.SyntaxError](err), isA[*config.FieldError](err),
+		isA[*config.ReadError](err), isA[*catalogue.FieldError](err), isA[*platform.RejectedError](err):
+		return ExitInvalid
+	case isA[*platform.ConflictError](err):
+		return ExitConflict
+	case isA[*platform.UnavailableError](err), isA[*OperatorError](err):
+		return ExitUnreachable
+	default:
+		return ExitFailed
+	}
+}
+
+// isA reports whether err or a cause of it has type T.
+func isA[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
+
+// printError writes an error for people, or as a JSON object.
+func (e *env) printError(err error) {
+	if e.format == outputJSON {
+		var list []string
+		for _, part := range joined(err) {
+			list = append(list, part.Error())
+		}
+		_ = json.NewEncoder(e.errOut).Encode(map[string]any{"errors": list, "exitCode": exitCode(err)}) // nowhere else to report
+		return
+	}
+	for _, part := range joined(err) {
+		_, _ = fmt.Fprintln(e.errOut, "egretroad:", part)
+	}
+}
+
+// printJSON writes v as indented JSON.
+func (e *env) printJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// printTable writes rows in columns, or v as JSON.
+func (e *env) printTable(v any, header []string, rows [][]string) error {
+	if e.format == outputJSON {
+		return e.printJSON(v)
+	}
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(header, "\t")) // Flush reports errors
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// printLine writes a line for people, or v as JSON.
+func (e *env) printLine(v any, format string, args ...any) error {
+	if e.format == outputJSON {
+		return e.printJSON(v)
+	}
+	_, err := fmt.Fprintf(e.out, format+"\n", args...)
+	return err
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -357,7 +357,7 @@
 		return nil, err
 	}
 	if n.opts.TLS != nil {
-		conn = tls.Client(conn, n.opts.TLS)
+		conn = tls.Client(conn, n.clientTLS(addr))
 	}
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	if err := dialHello(conn, r, n.opts.Self, n.opts.FleetKey, n.opts.DialTimeout); err != nil {
@@ -373,6 +373,13 @@
 	return c, nil
 }
 
+// clientTLS returns the TLS configuration that checks the certificate of addr.
+func (n *Node) clientTLS(addr string) *tls.Config {
+	conf := n.opts.TLS.Clone()
+	conf.ServerName, _, _ = net.SplitHostPort(addr) // the dial to addr has succeeded
+	return conf
+}
+
 // Call implements Caller.
 func (n *Node) Call(ctx context.Context, vm, method string, body []byte) ([]byte, error) {
 	if vm == n.opts.Self {
--- /dev/null
+++ b/internal/proxy/lifecycle.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/fx"
+)
+
+// registerLifecycle orders start and stop. A stop goes the other way: callers
+// first, then the farewell of control, the homes, the leases, and the peers.
+func (p *Proxy) registerLifecycle(lc fx.Lifecycle) {
+	c := &p.parts
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			c.Operator.SetReady(p.Ready)
+			c.Operator.Start(c.Listeners.operator)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			defer c.Listeners.close()
+			return ignoreEnd(c.Operator.Stop(ctx))
+		},
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { c.Node.Start(c.Listeners.peers); return nil },
+		OnStop:  func(context.Context) error { c.Node.Stop(); return nil },
+	})
+	lc.Append(fx.Hook{
+		OnStop: func(ctx context.Context) error {
+			if !p.killed.Load() {
+				c.Leases.Stop(ctx)
+			}
+			return nil
+		},
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { c.Homes.Start(); return nil },
+		OnStop:  func(ctx context.Context) error { return ignoreEnd(c.Homes.Stop(ctx)) },
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { c.Control.Start(); return nil },
+		OnStop: func(ctx context.Context) error {
+			if p.killed.Load() {
+				ctx, cancel := context.WithCancel(ctx)
+				cancel()
+				return ignoreEnd(c.Control.Stop(ctx))
+			}
+			return ignoreEnd(c.Control.Stop(ctx))
+		},
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { go p.serveCallers(); return nil },
+		OnStop:  p.drainCallers,
+	})
+}
+
+// serveCallers accepts callers once control knows the catalogue and the groups.
+func (p *Proxy) serveCallers() {
+	<-p.parts.Control.Ready()
+	p.serving.Store(true)
+	p.parts.Log.Info("ready", "callers", p.CallerAddr(), "operator", p.OperatorAddr())
+	if err := p.parts.Gateway.Serve(p.parts.Listeners.callers); err != nil && !p.killed.Load() {
+		p.parts.Log.Error("caller_listener_failed", "error", err)
+	}
+}
+
+// drainCallers lets requests in progress end, then closes callers' connections.
+func (p *Proxy) drainCallers(ctx context.Context) error {
+	p.serving.Store(false)
+	if p.killed.Load() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.settings.Shutdown.DrainTimeout.D())
+	defer cancel()
+	err := p.parts.Gateway.Drain(ctx)
+	p.parts.Gateway.Close()
+	return ignoreEnd(err)
+}
+
+// ignoreEnd drops the error of a stop that ran out of time: the parts after it
+// must be stopped all the same.
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/tools/measure/path/load.go
@@ -0,0 +1,164 @@
+package path
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
+
+	"egretroad/tools/measure/fleet"
+)
+
+// Range of latencies that the histogram holds, in microseconds.
+const (
+	minLatencyMicros = 1
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+)
+
+// loadResult is the outcome of one load.
+type loadResult struct {
+	mu         sync.Mutex // guards the fields below
+	histogram  *hdrhistogram.Histogram
+	errors     int64
+	firstError string
+	elapsed    time.Duration
+}
+
+func newLoadResult() *loadResult {
+	return &loadResult{histogram: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)}
+}
+
+func (l *loadResult) count() int64 { return l.histogram.TotalCount() }
+
+func (l *loadResult) millis(percentile float64) float64 {
+	return float64(l.histogram.ValueAtPercentile(percentile)) / 1000
+}
+
+func (l *loadResult) perSecond() float64 { return float64(l.count()) / l.elapsed.Seconds() }
+
+func (l *loadResult) add(h *hdrhistogram.Histogram, errs int64, first error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.histogram.Merge(h)
+	l.errors += errs
+	if first != nil && l.firstError == "" {
+		l.firstError = first.Error()
+	}
+}
+
+// setup writes the row that all loads read.
+func setup(ctx context.Context, dsn string) error {
+	conn, err := pgx.Connect(ctx, dsn)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }() // the write's error counts
+	_, err = conn.Exec(ctx, setupStatement)
+	return err
+}
+
+// read runs n reads on one connection.
+func read(ctx context.Context, dsn string, n int) error {
+	conn, err := pgx.Connect(ctx, dsn)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }() // the reads' errors count
+	for range n {
+		if err := readOnce(ctx, conn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readOnce(ctx context.Context, conn *pgx.Conn) error {
+	var value string
+	return conn.QueryRow(ctx, readStatement, "path").Scan(&value)
+}
+
+// load lets n callers read one after another for the given time.
+func load(ctx context.Context, dsn string, n int, d time.Duration) (*loadResult, error) {
+	conns := make([]*pgx.Conn, n)
+	var connecting errgroup.Group
+	connecting.SetLimit(32)
+	for i := range conns {
+		connecting.Go(func() (err error) {
+			if conns[i], err = pgx.Connect(ctx, dsn); err == nil {
+				err = readOnce(ctx, conns[i])
+			}
+			return err
+		})
+	}
+	if err := connecting.Wait(); err != nil {
+		return nil, err
+	}
+	result := newLoadResult()
+	began := time.Now()
+	var callers sync.WaitGroup
+	for _, conn := range conns {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			defer func() { _ = conn.Close(ctx) }() // the load is over
+			result.add(loadOne(ctx, conn, began.Add(d)))
+		}()
+	}
+	callers.Wait()
+	result.elapsed = time.Since(began)
+	return result, nil
+}
+
+// loadOne reads on one connection until the given time.
+func loadOne(ctx context.Context, conn *pgx.Conn, until time.Time) (h *hdrhistogram.Histogram, errs int64, first error) {
+	h = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+	for start := time.Now(); start.Before(until) && ctx.Err() == nil; start = time.Now() {
+		if err := readOnce(ctx, conn); err != nil {
+			errs++
+			if first == nil {
+				first = err
+			}
+			continue
+		}
+		_ = h.RecordValue(max(time.Since(start).Microseconds(), minLatencyMicros)) // far below the maximum
+	}
+	return h, errs, first
+}
+
+// connectIdle opens n connections that do nothing after one read.
+func connectIdle(ctx context.Context, dsn string, n int) (closeAll func(), err error) {
+	conns := make([]*pgx.Conn, n)
+	closeAll = func() {
+		for _, c := range conns {
+			if c != nil {
+				_ = c.Close(ctx) // the measurement is over
+			}
+		}
+	}
+	var g errgroup.Group
+	g.SetLimit(32)
+	for i := range conns {
+		g.Go(func() (err error) {
+			if conns[i], err = pgx.Connect(ctx, dsn); err == nil {
+				err = readOnce(ctx, conns[i])
+			}
+			return err
+		})
+	}
+	return closeAll, g.Wait()
+}
+
+// lanes returns the number of transactions that a proxy sent to other VMs.
+func lanes(ctx context.Context, p *fleet.Proxy) (int64, error) {
+	var vars struct {
+		Peer struct {
+			LanesOpened int64 `json:"lanes_opened"`
+		} `json:"peer"`
+	}
+	err := p.JSON(ctx, "/debug/vars", &vars)
+	return vars.Peer.LanesOpened, err
+}
--- /dev/null
+++ b/tools/measure/path/path.go
@@ -0,0 +1,224 @@
+// Package path measures what the proxies add to a statement: latency,
+// throughput, processor time and memory, directly to the stand-in server and
+// through one and two proxies, in one run.
+package path
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"egretroad/internal/standin/deployment"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+// Sizes of the measurement.
+const (
+	proxies        = 9
+	phaseDuration  = 3 * time.Second
+	directCallers  = 8 // the stand-in's connection limit allows no more beside the proxies
+	idleCallers    = 2000
+	probeReads     = 20
+	database       = "orders1"
+	readKind       = "stock"
+	readStatement  = "SELECT value FROM kv WHERE key = $1"
+	setupStatement = "INSERT INTO kv (key, value) VALUES ('path', 'x')"
+)
+
+// Bounds, from the stated target.
+const (
+	maxAddedP50Millis   = 0.3
+	maxCPUMicros        = 100
+	maxIdleCallerKBytes = 16
+)
+
+// callerCounts are the numbers of concurrent callers.
+var callerCounts = []int{1, 16, 256}
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed, o.Scale = proxies, env.Seed, 0
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	m := &measurement{env: env, fleet: f, report: report.New("path", env.Seed)}
+	return m.report, m.run(ctx)
+}
+
+// measurement is one run.
+type measurement struct {
+	env    *report.Env
+	fleet  *fleet.Fleet
+	report *report.Report
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	if err := setup(ctx, m.fleet.Proxies[0].DSN(database, "")); err != nil {
+		return err
+	}
+	near, far, err := m.pickProxies(ctx)
+	if err != nil {
+		return err
+	}
+	idle, err := m.idleCPU(ctx)
+	if err != nil {
+		return err
+	}
+	direct, err := m.direct(ctx)
+	if err != nil {
+		return err
+	}
+	for _, n := range callerCounts {
+		if err := m.through(ctx, "one_proxy", near, n, idle); err != nil {
+			return err
+		}
+		if err := m.through(ctx, "two_proxies", far, n, idle); err != nil {
+			return err
+		}
+	}
+	m.report.AtMost("two_proxies_1_added_p50_ms", m.report.Figures["two_proxies_1_p50_ms"]-direct, maxAddedP50Millis)
+	m.report.AtMost("two_proxies_16_cpu_us", m.report.Figures["two_proxies_16_cpu_us"], maxCPUMicros)
+	return m.idleMemory(ctx, far)
+}
+
+// pickProxies returns a proxy that is home of the server it reads from, and one
+// that is not.
+func (m *measurement) pickProxies(ctx context.Context) (near, far *fleet.Proxy, err error) {
+	for _, p := range m.fleet.Proxies {
+		before, err := lanes(ctx, p)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := read(ctx, p.DSN(database, readKind), probeReads); err != nil {
+			return nil, nil, err
+		}
+		after, err := lanes(ctx, p)
+		if err != nil {
+			return nil, nil, err
+		}
+		// The first read may ask the primary's home for its position by a call, not by a lane.
+		if after == before {
+			near = p
+		} else if after-before >= probeReads {
+			far = p
+		}
+	}
+	if near == nil || far == nil {
+		return nil, nil, &NoPathError{Near: near != nil, Far: far != nil}
+	}
+	return near, far, nil
+}
+
+// NoPathError reports a fleet without a path through one or two proxies.
+type NoPathError struct{ Near, Far bool }
+
+func (e *NoPathError) Error() string {
+	return fmt.Sprintf("no proxy reads through one proxy (found: %v) or through two (found: %v)", e.Near, e.Far)
+}
+
+// direct measures the stand-in without proxies and returns the p50 of one caller in ms.
+func (m *measurement) direct(ctx context.Context) (float64, error) {
+	server := m.fleet.Groups[database].Primary()
+	dsn := fleet.DSN(server.Addr(), database, "")
+	var one float64
+	for _, n := range []int{1, directCallers} {
+		l, err := load(ctx, dsn, n, phaseDuration)
+		if err != nil {
+			return 0, err
+		}
+		m.record(fmt.Sprintf("direct_%d", n), l)
+		if n == 1 {
+			one = l.millis(50)
+		}
+	}
+	return one, nil
+}
+
+// through measures n callers through a proxy.
+func (m *measurement) through(ctx context.Context, name string, p *fleet.Proxy, n int, idlePerSecond time.Duration) error {
+	name = fmt.Sprintf("%s_%d", name, n)
+	before, err := m.totalCPU()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	l, err := load(ctx, p.DSN(database, readKind), n, phaseDuration)
+	if err != nil {
+		return err
+	}
+	after, err := m.totalCPU()
+	if err != nil {
+		return err
+	}
+	m.record(name, l)
+	idle := time.Duration(float64(idlePerSecond) * time.Since(began).Seconds())
+	m.report.Set(name+"_cpu_us", float64((after-before-idle).Microseconds())/float64(max(l.count(), 1)))
+	m.report.Exactly(name+"_errors", float64(l.errors), 0)
+	return nil
+}
+
+// record sets a load's figures.
+func (m *measurement) record(name string, l *loadResult) {
+	m.report.Set(name+"_p50_ms", l.millis(50))
+	m.report.Set(name+"_p99_ms", l.millis(99))
+	m.report.Set(name+"_per_second", l.perSecond())
+	m.env.Logf("%s: p50 %.3f ms, p99 %.3f ms, %.0f/s, %d errors %s", name, l.millis(50), l.millis(99), l.perSecond(), l.errors, l.firstError)
+}
+
+func (m *measurement) totalCPU() (time.Duration, error) {
+	var total time.Duration
+	for _, p := range m.fleet.Proxies {
+		cpu, err := p.CPU()
+		if err != nil {
+			return 0, err
+		}
+		total += cpu
+	}
+	return total, nil
+}
+
+// idleCPU returns the processor time per second of all proxies without load.
+func (m *measurement) idleCPU(ctx context.Context) (time.Duration, error) {
+	before, err := m.totalCPU()
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	select {
+	case <-time.After(phaseDuration):
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	after, err := m.totalCPU()
+	if err != nil {
+		return 0, err
+	}
+	perSecond := time.Duration(float64(after-before) / time.Since(began).Seconds())
+	m.report.Set("idle_cpu_percent_of_core_per_proxy", 100*perSecond.Seconds()/proxies)
+	return perSecond, nil
+}
+
+// idleMemory measures the resident memory of idle callers' connections.
+func (m *measurement) idleMemory(ctx context.Context, p *fleet.Proxy) error {
+	before, err := p.ResidentBytes()
+	if err != nil {
+		return err
+	}
+	closeAll, err := connectIdle(ctx, p.DSN(database, readKind), idleCallers)
+	defer closeAll()
+	if err != nil {
+		return err
+	}
+	after, err := p.ResidentBytes()
+	if err != nil {
+		return err
+	}
+	perCaller := float64(after-before) / idleCallers / 1024
+	m.env.Logf("idle caller: %.1f KB", perCaller)
+	m.report.AtMost("idle_caller_kb", perCaller, maxIdleCallerKBytes)
+	return nil
+}
