--- a/internal/control/run/control.go
+++ b/internal/control/run/control.go
@@ -96,6 +96,9 @@
 // Post queues an event for the machines.
 func (c *Control) Post(e reducer.Event) { c.runtime.Post(e) }
 
+// Inspect runs f on the control goroutine, for dumps of the further machines.
+func (c *Control) Inspect(f func()) { c.runtime.Inspect(f) }
+
 // Leave says farewell: other VMs take this VM's homes over, while this VM goes
 // on serving what it has. It returns once the farewell is queued.
 func (c *Control) Leave() {
--- a/internal/proxy/components.go
+++ b/internal/proxy/components.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"expvar"
 	"os"
 
 	"github.com/hashicorp/go-hclog"
@@ -71,7 +72,13 @@
 }
 
 func newStore(s config.Settings, m *metrics.Registry) platform.Store {
-	return platform.NewClient(s.Platform.URL, storeOptions(s), m)
+	o := platform.DefaultClientOptions()
+	o.BindIP = s.VM.Address
+	o.CallTimeout = s.Platform.Timeout.D()
+	o.ReadsPerSecond, o.WritesPerSecond = s.Platform.CallsPerSecond, s.Platform.CallsPerSecond
+	c := platform.NewClient(s.Platform.URL, o)
+	m.Set("platform", "calls", expvar.Func(func() any { return c.Counts() }))
+	return c
 }
 
 func newDispatcher(p *topology.Publisher, n *peer.Node) *dispatch.Dispatcher {
@@ -86,8 +93,12 @@
 }
 
 func newControl(s config.Settings, self topology.VM, store platform.Store, n *peer.Node, p *topology.Publisher, l *leases, log hclog.Logger, m *metrics.Registry) *control.Control {
-	c := control.New(control.DefaultOptions(), control.Deps{
-		Self: self, Seeds: s.Peers.Seeds, Store: store, Peers: n, Registrar: n, Publisher: p,
+	o := control.DefaultOptions()
+	for _, addr := range s.Peers.Seeds {
+		o.Seeds = append(o.Seeds, topology.VM{ID: addr, PeerAddr: addr})
+	}
+	c := control.New(o, control.Deps{
+		Self: self, Store: store, Peers: n, Registrar: n, Publisher: p,
 		Machines: []reducer.Machine{l.Machine()}, Executors: []reducer.Executor{l.Executor()},
 		Log: log.Named("control"), Metrics: m,
 	})
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -7,8 +7,9 @@
 	"go.uber.org/fx"
 )
 
-// registerLifecycle orders start and stop. A stop goes the other way: callers
-// first, then the farewell of control, the homes, the leases, and the peers.
+// registerLifecycle orders start and stop. A stop goes the other way: the
+// farewell, by which other VMs take the homes over; callers; lanes of other
+// proxies; control; leases; and last the peers.
 func (p *Proxy) registerLifecycle(lc fx.Lifecycle) {
 	c := &p.parts
 	lc.Append(fx.Hook{
@@ -35,19 +36,12 @@
 		},
 	})
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { c.Homes.Start(); return nil },
-		OnStop:  func(ctx context.Context) error { return ignoreEnd(c.Homes.Stop(ctx)) },
+		OnStart: func(context.Context) error { c.Control.Start(); return nil },
+		OnStop:  func(ctx context.Context) error { return ignoreEnd(c.Control.Stop(ctx)) },
 	})
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { c.Control.Start(); return nil },
-		OnStop: func(ctx context.Context) error {
-			if p.killed.Load() {
-				ctx, cancel := context.WithCancel(ctx)
-				cancel()
-				return ignoreEnd(c.Control.Stop(ctx))
-			}
-			return ignoreEnd(c.Control.Stop(ctx))
-		},
+		OnStart: func(context.Context) error { c.Homes.Start(); return nil },
+		OnStop:  func(ctx context.Context) error { return ignoreEnd(c.Homes.Stop(ctx)) },
 	})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { go p.serveCallers(); return nil },
@@ -65,12 +59,13 @@
 	}
 }
 
-// drainCallers lets requests in progress end, then closes callers' connections.
+// drainCallers says farewell, lets requests in progress end, then closes callers' connections.
 func (p *Proxy) drainCallers(ctx context.Context) error {
 	p.serving.Store(false)
 	if p.killed.Load() {
 		return nil
 	}
+	p.parts.Control.Leave()
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Shutdown.DrainTimeout.D())
 	defer cancel()
 	err := p.parts.Gateway.Drain(ctx)
