Share group objects in force with the other machines; listen below the kernel's own ports

Cause: writes waited for ever, since the authority machine never saw a group; and a proxy's port could be taken by an outgoing connection before it listened. Change: control emits each group in force as reducer.ObjectChanged; the deployment picks listening ports below the range of outgoing connections.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -82,6 +82,16 @@
 // EffectName implements reducer.Effect.
 func (Notify) EffectName() string { return "notify" }
 
+// ShareObject gives an object in force to the other machines, as a
+// reducer.ObjectChanged.
+type ShareObject struct {
+	Record ObjectRecord
+	From   string
+}
+
+// EffectName implements reducer.Effect.
+func (ShareObject) EffectName() string { return "share_object" }
+
 // ListObjects lists a kind of object; the answer is ObjectsListed.
 type ListObjects struct{ Kind string }
 
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -70,6 +70,9 @@
 		x.notify(e)
 	case control.Publish:
 		x.publish(e, post)
+	case control.ShareObject:
+		r := e.Record
+		post(reducer.ObjectChanged{Kind: r.Kind, Name: r.Name, Version: r.Version, Deleted: r.Deleted, Value: r.Value, From: e.From})
 	case control.Log:
 		x.writeLog(e)
 	case control.ListObjects:
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -62,6 +62,9 @@
 		return
 	}
 	m.snapshot.objectChanged(key)
+	if key.kind == platform.KindGroup {
+		m.emit(ShareObject{Record: o.record, From: o.from})
+	}
 }
 
 // refuteList returns at once when the platform's list dropped this VM.
--- a/internal/proxy/components.go
+++ b/internal/proxy/components.go
@@ -133,12 +133,11 @@
 		return nil, err
 	}
 	o.TLS = conf
-	cancels := newCancels(n)
 	g := gateway.New(o, gateway.Deps{
 		Source: p, Home: d, Log: log.Named("gateway"), Metrics: m,
-		Now: clock.Boottime, ForwardCancel: cancels.forward,
+		Now: clock.Boottime, ForwardCancel: gateway.ForwardByPeer(n),
 	})
-	cancels.serve(g)
+	g.RegisterPeer(n)
 	return g, nil
 }
 
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -41,7 +41,7 @@
 	})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { c.Homes.Start(); return nil },
-		OnStop:  func(ctx context.Context) error { return ignoreEnd(c.Homes.Stop(ctx)) },
+		OnStop:  func(ctx context.Context) error { c.Homes.Stop(ctx); return nil },
 	})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { go p.serveCallers(); return nil },
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -67,7 +68,7 @@
 		fx.Invoke(p.registerLifecycle),
 	)
 	if err := p.app.Err(); err != nil {
-		return nil, err
+		return nil, dig.RootCause(err)
 	}
 	return p, nil
 }
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strconv"
@@ -288,14 +289,26 @@
 	return vm, nil
 }
 
-// freePort returns an IP:port that nothing listens on.
+// Ports for listeners that are opened later, below the ports that the kernel
+// gives to outgoing connections.
+const (
+	firstListenPort = 10_000
+	lastListenPort  = 32_000
+	portAttempts    = 200
+)
+
+// freePort returns an IP:port that nothing listens on and that no outgoing
+// connection is given by the kernel.
 func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", &PortError{Addr: ip, Cause: err}
+	var err error
+	for range portAttempts {
+		port := firstListenPort + rand.IntN(lastListenPort-firstListenPort)
+		var l net.Listener
+		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port))); err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", &PortError{Addr: ip, Cause: err}
 }
 
 // Databases returns the databases' names in order.
--- a/tools/measure/fleet/fleet.go
+++ b/tools/measure/fleet/fleet.go
@@ -66,7 +66,7 @@
 	Deployment deployment.Options
 	Edit       func(*config.Settings) // changes each proxy's settings; may be nil
 	LogLevel   string                 // of the proxies; empty: warn
-	Log        io.Writer              // takes the proxies' logs; nil: discarded
+	Log        io.Writer              // takes the proxies' logs; nil: standard error
 }
 
 // Fleet is a deployment with its proxies.
@@ -152,7 +152,10 @@
 	}
 	cmd := exec.Command(p.fleet.options.Binary, "serve", "--config", "-")
 	cmd.Stdin = bytes.NewReader(settings)
-	cmd.Stderr = p.fleet.options.Log
+	cmd.Stderr = os.Stderr
+	if p.fleet.options.Log != nil {
+		cmd.Stderr = p.fleet.options.Log
+	}
 	// The kernel ends the process when this one dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
