--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
@@ -135,6 +134,3 @@
 	}
 	return "http://" + address
 }
-
-// platformTimeout bounds one call of an operator command.
-const platformTimeout = 5 * time.Second
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
-	"text/tabwriter"
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/config"
@@ -69,19 +67,6 @@
 	return enc.Encode(v)
 }
 
-// printTable writes rows in columns, or v as JSON.
-func (e *env) printTable(v any, header []string, rows [][]string) error {
-	if e.format == outputJSON {
-		return e.printJSON(v)
-	}
-	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, strings.Join(header, "\t")) // Flush reports errors
-	for _, row := range rows {
-		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
-	}
-	return w.Flush()
-}
-
 // printLine writes a line for people, or v as JSON.
 func (e *env) printLine(v any, format string, args ...any) error {
 	if e.format == outputJSON {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -1,8 +1,6 @@
 package cli
 
 import (
-	"os"
-
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
@@ -63,6 +61,3 @@
 		},
 	}
 }
-
-// exitNow ends the process; a second signal uses it.
-var exitNow = os.Exit
