Measure floods against two baselines, and give floors a grace

Cause: no figures for floods; in a trial a kind below its floor's rate went before more urgent work although it got its share by rank anyway.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -123,6 +123,8 @@
 	MaxQueueBytes int
 	// MaxQueueAge bounds the time that work waits.
 	MaxQueueAge time.Duration
+	// FloorGrace is how long a kind is owed its floor before it goes before rank.
+	FloorGrace time.Duration
 	// CreditWindow bounds how much unused floor a busy kind can save up.
 	CreditWindow time.Duration
 	// InitialService is the service time assumed before one is measured.
@@ -139,6 +141,7 @@
 		DefaultQueueLength: 1000,
 		MaxQueueBytes:      16 << 20,
 		MaxQueueAge:        30 * time.Second,
+		FloorGrace:         50 * time.Millisecond,
 		CreditWindow:       time.Second,
 		InitialService:     5 * time.Millisecond,
 		CoDelTarget:        20 * time.Millisecond,
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -50,17 +50,18 @@
 
 // mostOwed returns the next item of the kind that has waited longest for its floor.
 func (m *Machine) mostOwed() *item {
-	var best *class
-	var bestItem *item
+	longest := m.options.FloorGrace.Seconds()
+	var best *item
 	for _, c := range m.classes {
-		if !c.floor.owed() || best != nil && best.waitOwed() >= c.waitOwed() {
+		owed := c.floor.owedFor(m.size.slots)
+		if owed <= longest {
 			continue
 		}
 		if i := m.first(c); i != nil {
-			best, bestItem = c, i
+			longest, best = owed, i
 		}
 	}
-	return bestItem
+	return best
 }
 
 // byRank returns the next item of the most urgent rank that can run.
--- a/internal/admission/floors.go
+++ b/internal/admission/floors.go
@@ -17,8 +17,13 @@
 	credit float64
 }
 
-// owed reports whether the kind goes before rank.
-func (f *floor) owed() bool { return f.share > 0 && f.credit > 0 }
+// owedFor returns for how many seconds the kind has waited for its share.
+func (f *floor) owedFor(slots int) float64 {
+	if f.share <= 0 || f.credit <= 0 {
+		return 0
+	}
+	return f.credit / (f.share * float64(slots))
+}
 
 // advance accounts for a stretch of time.
 func (c *class) advance(elapsed time.Duration, slots int, window time.Duration) {
@@ -39,6 +44,3 @@
 	}
 	f.credit = math.Min(f.credit, rate*window.Seconds())
 }
-
-// waitOwed returns for how long the kind has been owed its share, for comparison.
-func (c *class) waitOwed() float64 { return c.floor.credit / c.floor.share }
--- /dev/null
+++ b/tools/measure/flood/flood.go
@@ -0,0 +1,289 @@
+// Package flood measures what a flood of one kind of work leaves to the others
+// at the homes of backend servers, against two baselines in the same run.
+//
+// Load is open-loop: arrivals are a Poisson process with a seed and do not wait
+// for answers; latency counts from the arrival. The load goes to home.Manager in
+// this process; its connections to the stand-in servers are real.
+package flood
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"egretroad/internal/admission"
+	"egretroad/tools/measure/report"
+)
+
+// variant is one way to order and refuse work.
+type variant struct {
+	name   string
+	order  admission.Order
+	policy admission.Policy
+	sweep  bool // measure all loads, not only the flood of reports
+}
+
+const (
+	ours = "floors"
+	fcfs = "fcfs"
+	rank = "rank"
+)
+
+var variants = []variant{
+	{name: ours, order: admission.OrderFloorsThenRank, policy: admission.PolicyDeadline, sweep: true},
+	{name: fcfs, order: admission.OrderArrival, policy: admission.PolicyQueueLength, sweep: true},
+	{name: rank, order: admission.OrderRankOnly, policy: admission.PolicyDeadline, sweep: true},
+	{name: "floors-fixed", order: admission.OrderFloorsThenRank, policy: admission.PolicyQueueLength},
+	{name: "floors-codel", order: admission.OrderFloorsThenRank, policy: admission.PolicyCoDel},
+}
+
+// Lengths of runs.
+const (
+	longRun  = 5 * time.Second
+	shortRun = 1500 * time.Millisecond
+)
+
+// multiples are the offered loads of the flooding kind, in capacities.
+var multiples = []float64{1, 2, 5, 10}
+
+const highest = 10
+
+// Shares of the capacity that the quiet load offers.
+const (
+	quietOrders  = 0.15
+	quietReads   = 0.15
+	quietReports = 0.20
+	// During a flood of orders the others offer more than their floors.
+	pressingReads   = 0.30
+	pressingReports = 0.20
+	// Offered by each owner that does not flood; more than its fair share.
+	pressingOwner = 0.40
+)
+
+// point is one offered load and what it brought.
+type point struct {
+	load   float64 // capacities offered in all
+	result *result
+}
+
+// series is what one variant brought on one deployment.
+type series struct {
+	deployment deployment
+	variant    variant
+	quiet      *result
+	reports    []point // floods of reports
+	orders     []point // floods of orders
+	owners     *result
+	seenNotRun int
+	maxConns   int64
+	maxRunning int64
+	refusedCon int64
+	overSlot   int64
+}
+
+// Run makes the measurement.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	all, err := measureAll(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	r := report.New("flood", env.Seed)
+	for _, s := range all {
+		s.report(r)
+	}
+	return r, plotAll(all, env)
+}
+
+// measureAll runs every variant of every deployment at the same time; each has
+// its own servers.
+func measureAll(ctx context.Context, env *report.Env) ([]*series, error) {
+	var all []*series
+	for _, d := range deployments {
+		if env.Deployment != "" && env.Deployment != d.name {
+			continue
+		}
+		for _, v := range variants {
+			all = append(all, &series{deployment: d, variant: v})
+		}
+	}
+	errs := make([]error, len(all))
+	var done sync.WaitGroup
+	for i, s := range all {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			errs[i] = s.measure(ctx, env, uint64(i))
+		}()
+	}
+	done.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+func (s *series) measure(ctx context.Context, env *report.Env, number uint64) error {
+	const seedStep = 1_000_000
+	r := &runner{seed: env.Seed + number*seedStep, notRun: map[int]bool{}}
+	options := admission.DefaultOptions()
+	options.Order, options.Policy = s.variant.order, s.variant.policy
+	for n := range s.deployment.databases {
+		t, err := newTarget(s.deployment, n, r.seed, options)
+		if err != nil {
+			return err
+		}
+		defer t.close()
+		r.targets = append(r.targets, t)
+	}
+	for _, step := range s.steps(r, env) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		step()
+	}
+	s.readServers(r)
+	return nil
+}
+
+// steps returns the runs in their order.
+func (s *series) steps(r *runner, env *report.Env) []func() {
+	logf := func(what string) {
+		env.Logf("event=run deployment=%s variant=%s load=%s", s.deployment.name, s.variant.name, what)
+	}
+	steps := []func(){func() {
+		logf("quiet")
+		s.quiet = r.run(s.offers(quietOrders, quietReads, quietReports), longRun)
+	}}
+	for _, m := range multiples {
+		if !s.variant.sweep && m != highest {
+			continue
+		}
+		steps = append(steps, func() {
+			logf(fmt.Sprintf("reports*%g", m))
+			s.reports = append(s.reports, point{
+				load: quietOrders + quietReads + m, result: r.run(s.offers(quietOrders, quietReads, m), lengthOf(m)),
+			})
+		})
+	}
+	if !s.variant.sweep {
+		return steps
+	}
+	for _, m := range multiples {
+		steps = append(steps, func() {
+			logf(fmt.Sprintf("orders*%g", m))
+			s.orders = append(s.orders, point{
+				load: m + pressingReads + pressingReports, result: r.run(s.offers(m, pressingReads, pressingReports), lengthOf(m)),
+			})
+		})
+	}
+	return append(steps, func() {
+		logf("owner*10")
+		s.owners = r.run(s.ownerOffers(), longRun)
+	})
+}
+
+func lengthOf(multiple float64) time.Duration {
+	if multiple == highest {
+		return longRun
+	}
+	return shortRun
+}
+
+// rate returns the requests a second and server that use a share of its slots.
+func (s *series) rate(f flow, share float64) float64 {
+	return share * float64(s.deployment.slots) / f.service.Seconds()
+}
+
+func (s *series) offers(orders, reads, reports float64) []offer {
+	flows := []flow{ordersFlow(), readsFlow("reads", "shop", primaryID), reportsFlow()}
+	var offers []offer
+	for i, share := range []float64{orders, reads, reports} {
+		offers = append(offers, offer{flow: flows[i], rate: s.rate(flows[i], share)})
+	}
+	return offers
+}
+
+func (s *series) ownerOffers() []offer {
+	var offers []offer
+	for i, f := range ownerFlows() {
+		share := pressingOwner
+		if i == 0 {
+			share = highest
+		}
+		offers = append(offers, offer{flow: f, rate: s.rate(f, share)})
+	}
+	return offers
+}
+
+// readServers takes the stand-ins' own counts.
+func (s *series) readServers(r *runner) {
+	s.seenNotRun = r.seenNotRun()
+	for _, t := range r.targets {
+		for _, id := range []string{primaryID, replicaID} {
+			stats := t.group.Server(id).Stats()
+			s.maxConns = max(s.maxConns, stats.MaxConns)
+			s.maxRunning = max(s.maxRunning, stats.MaxConcurrent)
+			s.refusedCon += stats.RefusedConns
+			s.overSlot += stats.OverSlot
+		}
+	}
+}
+
+// report adds the series' figures; only those of the project's own variant have
+// bounds, and the servers' limits hold for all.
+func (s *series) report(r *report.Report) {
+	prefix := s.deployment.name + "." + s.variant.name + "."
+	r.AtMost(prefix+"connections", float64(s.maxConns), float64(s.deployment.connections))
+	r.AtMost(prefix+"statements", float64(s.maxRunning), float64(s.deployment.slots))
+	r.Exactly(prefix+"not_run_but_seen", float64(s.seenNotRun), 0)
+	r.Set(prefix+"connections_refused", float64(s.refusedCon))
+	last := s.reports[len(s.reports)-1].result
+	bounded := s.variant.name == ours
+	check := func(name string, value float64, bound func(string, float64, float64), limit float64) {
+		if bounded {
+			bound(prefix+name, value, limit)
+		} else {
+			r.Set(prefix+name, value)
+		}
+	}
+	check("reports10.orders_success", last.success("orders"), r.AtLeast, 1)
+	check("reports10.orders_p99_ratio", last.tallies["orders"].p99()/s.quiet.tallies["orders"].p99(), r.AtMost, 2)
+	check("reports10.reads_kept", keptThroughput(last, s.quiet, "reads"), r.AtLeast, 0.95)
+	r.Set(prefix+"quiet.orders_p99_ms", s.quiet.tallies["orders"].p99())
+	r.Set(prefix+"reports10.orders_p99_ms", last.tallies["orders"].p99())
+	r.Set(prefix+"reports10.goodput", s.goodput(last))
+	r.Set(prefix+"reports10.reports_p99_ms", last.tallies["reports"].p99())
+	if !s.variant.sweep {
+		return
+	}
+	flooded := s.orders[len(s.orders)-1].result
+	check("orders10.reads_of_floor", flooded.share(readsFlow("reads", "shop", primaryID))*100/readsFloor, r.AtLeast, 0.9)
+	check("orders10.reports_of_floor", flooded.share(reportsFlow())*100/reportsFloor, r.AtLeast, 0.9)
+	check("orders10.goodput", s.goodput(flooded), r.AtLeast, 0.9)
+	worst := math.Inf(1)
+	for _, f := range ownerFlows()[1:] {
+		worst = min(worst, s.owners.share(f)*float64(len(ownerNames)))
+	}
+	check("owner10.worst_of_fair_share", worst, r.AtLeast, 0.9)
+}
+
+// keptThroughput compares an entry's answered share of its offered load, as the
+// two runs offer the same rate by different arrivals.
+func keptThroughput(flooded, quiet *result, entry string) float64 {
+	return flooded.success(entry) / quiet.success(entry)
+}
+
+// goodput returns the slot time of whole answers as a share of the capacity.
+func (s *series) goodput(r *result) float64 {
+	sum := 0.0
+	for _, f := range allFlows() {
+		if _, there := r.tallies[f.entry.Name]; there {
+			sum += r.share(f)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/tools/measure/flood/load.go
@@ -0,0 +1,179 @@
+package flood
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"egretroad/internal/outcome"
+)
+
+// offer is a flow with its rate.
+type offer struct {
+	flow flow
+	rate float64 // requests a second and target
+}
+
+// tally counts what became of a flow's requests that arrived after the warm-up.
+type tally struct {
+	mu      sync.Mutex
+	offered int
+	done    int // whole answers
+	refused map[outcome.Reason]int
+	other   int // failed or unknown
+	latency *hdrhistogram.Histogram
+}
+
+// Range and precision of latencies, in microseconds and digits.
+const (
+	latencyMaxUS  = 60_000_000
+	latencyDigits = 3
+)
+
+func newTally() *tally {
+	return &tally{refused: map[outcome.Reason]int{}, latency: hdrhistogram.New(1, latencyMaxUS, latencyDigits)}
+}
+
+func (t *tally) add(took time.Duration, failed bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.offered++
+	var notRun *outcome.NotRunError
+	switch {
+	case errors.As(err, &notRun):
+		t.refused[notRun.Reason]++
+	case err != nil || failed:
+		t.other++
+	default:
+		t.done++
+		_ = t.latency.RecordValue(min(max(took.Microseconds(), 1), latencyMaxUS))
+	}
+}
+
+// p99 returns the 99th percentile of whole answers' latency, in milliseconds.
+func (t *tally) p99() float64 {
+	const usPerMS = 1000
+	return float64(t.latency.ValueAtQuantile(99)) / usPerMS
+}
+
+// result is what one run of offers brought, by entry.
+type result struct {
+	tallies map[string]*tally
+	length  time.Duration
+	slots   int // of all targets together
+}
+
+// share returns the part of the slot time that an entry's answers used.
+func (r *result) share(f flow) float64 {
+	t := r.tallies[f.entry.Name]
+	return float64(t.done) * f.service.Seconds() / (r.length.Seconds() * float64(r.slots))
+}
+
+// success returns the part of an entry's requests that were answered.
+func (r *result) success(entry string) float64 {
+	t := r.tallies[entry]
+	return float64(t.done) / float64(max(1, t.offered))
+}
+
+// runner offers load to targets that are loaded alike.
+type runner struct {
+	targets []*target
+	seed    uint64
+	number  int // of the next write, so that keys are unique
+
+	mu     sync.Mutex
+	notRun map[int]bool // writes refused as not run
+}
+
+// warmUp is the part of each run whose arrivals are not counted.
+const warmUp = 500 * time.Millisecond
+
+// run offers load for the warm-up and the given length, and waits for every answer.
+func (r *runner) run(offers []offer, length time.Duration) *result {
+	res := &result{tallies: map[string]*tally{}, length: length, slots: len(r.targets) * r.targets[0].deployment.slots}
+	for _, o := range offers {
+		res.tallies[o.flow.entry.Name] = newTally()
+	}
+	var arrivals, requests sync.WaitGroup
+	began := time.Now()
+	for _, t := range r.targets {
+		for _, o := range offers {
+			r.seed++
+			source := rand.New(rand.NewPCG(r.seed, 0))
+			first := r.number
+			r.number += 1_000_000
+			arrivals.Add(1)
+			go func() {
+				defer arrivals.Done()
+				r.arrive(t, o, res.tallies[o.flow.entry.Name], source, first, began, length, &requests)
+			}()
+		}
+	}
+	arrivals.Wait()
+	requests.Wait()
+	return res
+}
+
+// arrive starts requests at the arrivals of a Poisson process.
+func (r *runner) arrive(t *target, o offer, counts *tally, source *rand.Rand, number int, began time.Time, length time.Duration, requests *sync.WaitGroup) {
+	at := time.Duration(0)
+	for {
+		at += time.Duration(source.ExpFloat64() / o.rate * float64(time.Second))
+		if at > warmUp+length {
+			return
+		}
+		time.Sleep(time.Until(began.Add(at)))
+		number++
+		n, due := number, began.Add(at)
+		counted := at > warmUp
+		requests.Add(1)
+		go func() {
+			defer requests.Done()
+			failed, err := r.request(t, o.flow, n)
+			if counted {
+				counts.add(time.Since(due), failed, err)
+			}
+		}()
+	}
+}
+
+func (r *runner) request(t *target, f flow, n int) (failed bool, err error) {
+	defer func() { r.note(f, n, err) }()
+	lane, err := t.manager.Open(context.Background(), f.request())
+	if err != nil {
+		return false, err
+	}
+	defer lane.Close()
+	result, err := lane.Run(context.Background(), f.batch(n), func([]byte) error { return nil })
+	return result.Failed, err
+}
+
+// note remembers writes that were refused as not run.
+func (r *runner) note(f flow, n int, err error) {
+	var notRun *outcome.NotRunError
+	if f.entry.Name != "orders" || !errors.As(err, &notRun) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notRun[n] = true
+}
+
+// seenNotRun counts the writes refused as not run that a server has.
+func (r *runner) seenNotRun() int {
+	seen := 0
+	for _, t := range r.targets {
+		data := t.group.Server(primaryID).Data()
+		for n := range r.notRun {
+			if _, there := data[strconv.Itoa(n)]; there {
+				seen++
+			}
+		}
+	}
+	return seen
+}
