Let VMs that a late list calls dead hear of it

Change: answers to fetches hold every record. The test resumes every paused VM at the end of the faults; it left those outside the list paused. Conclusion: views agree after faults also with VMs outside the list.

--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -115,7 +115,9 @@
 		if !n.up {
 			f.start(vm)
 		}
-		f.resume(f.nodes[vm.ID])
+	}
+	for _, id := range f.order {
+		f.resume(f.nodes[id])
 	}
 }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -40,9 +40,9 @@
 	return m.serves() && m.record.Status == StatusAlive && !m.leaving
 }
 
-// spreads reports whether the record is part of the digest and of answers to
-// fetches. The record of a dead VM that left the platform's list is not.
-func (m *member) spreads() bool { return m.listed || m.record.Status != StatusDead }
+// counts reports whether the record is part of the digest. The record of a dead
+// VM that left the platform's list is not, as VMs forget it at different times.
+func (m *member) counts() bool { return m.listed || m.record.Status != StatusDead }
 
 // memberTable holds what is known of every VM.
 type memberTable struct {
@@ -135,20 +135,20 @@
 	}
 	t.forgetDue = now + forgetInterval
 	for id, m := range t.members {
-		if !m.spreads() && now-m.since > forgetAfter {
+		if !m.counts() && now-m.since > forgetAfter {
 			delete(t.members, id)
 		}
 	}
 }
 
-// sum returns the digest of the records that spread.
+// sum returns the digest of the records that count.
 func (t *memberTable) sum() uint64 {
 	if !t.stale {
 		return t.digest
 	}
 	t.stale, t.digest = false, 0
 	for _, m := range t.members {
-		if m.spreads() {
+		if m.counts() {
 			t.digest ^= recordHash(m.record)
 		}
 	}
@@ -163,10 +163,12 @@
 	return xxhash.Sum64(b)
 }
 
-// records returns every record that spreads, sorted by ID.
+// records returns every record, sorted by ID. Those outside the digest are among
+// them: a VM that thinks another dead by the platform's list must tell those that
+// think it alive.
 func (t *memberTable) records() []Record {
 	var out []Record
-	for _, id := range t.ids(func(m *member) bool { return m.spreads() }) {
+	for _, id := range t.ids(func(*member) bool { return true }) {
 		out = append(out, t.members[id].share())
 	}
 	return out
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -265,6 +265,9 @@
 }
 
 func (s *sim) resume(n *node) {
+	if !n.up {
+		return
+	}
 	n.paused = false
 	held := n.held
 	n.held = nil
