Code the hot bodies of a lane by hand and reuse lane goroutines

Change: field by field coding of the first batch and of the answer, a pool of lane goroutines, two cores per VM in the measurement, profiles at the operator address.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	PathMetrics = "/debug/vars" // expvar variables as JSON
 	PathDump    = "/dump"       // state of every component as JSON
 	PathReady   = "/ready"      // 200 once the proxy serves callers, else 503
+
+	PathProfiles = "/debug/pprof/" // Go profiles
 )
 
 // readHeaderTimeout bounds the wait for a request's header.
@@ -41,6 +44,8 @@
 	mux.Handle("GET "+PathMetrics, metrics)
 	mux.HandleFunc("GET "+PathDump, s.serveDump)
 	mux.HandleFunc("GET "+PathReady, s.serveReady)
+	mux.HandleFunc("GET "+PathProfiles, pprof.Index)
+	mux.HandleFunc("GET "+PathProfiles+"profile", pprof.Profile)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	return s
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -67,10 +67,11 @@
 
 // Node is the peer endpoint of one proxy.
 type Node struct {
-	opts   Options
-	source topology.Source
-	log    hclog.Logger
-	stats  *stats
+	opts    Options
+	source  topology.Source
+	log     hclog.Logger
+	stats   *stats
+	workers *workers // of incoming lanes
 
 	handlers map[string]Handler // fixed before Start
 	home     txn.Home           // fixed before Start; nil: lanes are refused
@@ -90,7 +91,7 @@
 func NewNode(opts Options, source topology.Source, log hclog.Logger, m *metrics.Registry) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
-		opts: opts, source: source, log: log, stats: newStats(m),
+		opts: opts, source: source, log: log, stats: newStats(m), workers: newWorkers(),
 		handlers: map[string]Handler{}, out: map[string]*outgoing{}, in: map[*link]struct{}{},
 		ctx: ctx, cancel: cancel,
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -224,6 +225,46 @@
 	_ = b
 }
 
+// fill sets every field of v, so that a field that the codec forgets shows.
+func fill(v reflect.Value, n *int) {
+	*n++
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), n)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		for i := range 2 {
+			fill(v.Index(i), n)
+		}
+	case reflect.String:
+		v.SetString(fmt.Sprint("s", *n))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(*n))
+	default:
+		v.SetUint(uint64(*n % 200))
+	}
+}
+
+func TestCodecKeepsEveryField(t *testing.T) {
+	for _, body := range []any{&openBody{}, &doneBody{}} {
+		g := gomega.NewWithT(t)
+		n := 0
+		fill(reflect.ValueOf(body).Elem(), &n)
+		raw, err := encode(body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		got := reflect.New(reflect.TypeOf(body).Elem()).Interface()
+		g.Expect(decode(raw, got)).To(gomega.Succeed())
+		g.Expect(got).To(gomega.Equal(body))
+		for cut := range raw {
+			g.Expect(decode(raw[:cut], reflect.New(reflect.TypeOf(body).Elem()).Interface())).NotTo(gomega.Succeed(), "cut at %d", cut)
+		}
+	}
+}
+
 func FuzzDecodeFrame(f *testing.F) {
 	good, _ := appendFrame(nil, frame{Type: frameCall, Number: 3, Body: []byte("x")})
 	f.Add(good[frameHeaderBytes:])
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -138,11 +138,11 @@
 	}
 	s.link.begin()
 	s.done.Add(1)
-	go func() {
+	s.node.workers.run(func() {
 		defer s.done.Done()
 		defer s.forget(l)
 		l.serve(ctx, s.node.home, body.Request, body.Batch)
-	}()
+	})
 	return nil
 }
 
--- a/tools/measure/fleet/fleet.go
+++ b/tools/measure/fleet/fleet.go
@@ -64,6 +64,7 @@
 type Options struct {
 	Binary     string
 	Deployment deployment.Options
+	Cores      int                    // processor cores of each VM; 0: all
 	Edit       func(*config.Settings) // changes each proxy's settings; may be nil
 	LogLevel   string                 // of the proxies; empty: warn
 	Log        io.Writer              // takes the proxies' logs; nil: standard error
@@ -152,6 +153,9 @@
 	}
 	cmd := exec.Command(p.fleet.options.Binary, "serve", "--config", "-")
 	cmd.Stdin = bytes.NewReader(settings)
+	if p.fleet.options.Cores > 0 {
+		cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.fleet.options.Cores))
+	}
 	cmd.Stderr = os.Stderr
 	if p.fleet.options.Log != nil {
 		cmd.Stderr = p.fleet.options.Log
--- a/tools/measure/path/path.go
+++ b/tools/measure/path/path.go
@@ -16,6 +16,7 @@
 // Sizes of the measurement.
 const (
 	proxies        = 9
+	coresPerVM     = 2 // entry VMs are small
 	phaseDuration  = 3 * time.Second
 	directCallers  = 8 // the stand-in's connection limit allows no more beside the proxies
 	idleCallers    = 2000
@@ -40,7 +41,7 @@
 func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
 	o := deployment.DefaultOptions()
 	o.Proxies, o.Seed, o.Scale = proxies, env.Seed, 0
-	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o, Cores: coresPerVM})
 	if err != nil {
 		return nil, err
 	}
