--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -55,7 +55,6 @@
 	}
 	cmd.Flags().StringVar(&address, "operator", "", "operator address of the proxy")
 	cmd.Flags().BoolVar(&vars, "metrics", false, "print metrics instead of the state")
-	_ = cmd.MarkFlagRequired("operator") // the flag exists
 	return cmd
 }
 
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -4,10 +4,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
+	"text/tabwriter"
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/config"
+	"egretroad/internal/demo"
+	"egretroad/internal/operate"
 	"egretroad/internal/platform"
+	"egretroad/internal/standin/deployment"
 )
 
 // Exit codes of the program.
@@ -30,9 +35,13 @@
 	case isA[*UsageError](err), isA[*config.SyntaxError](err), isA[*config.FieldError](err),
 		isA[*config.ReadError](err), isA[*catalogue.FieldError](err), isA[*platform.RejectedError](err):
 		return ExitInvalid
-	case isA[*platform.ConflictError](err):
+	case isA[*operate.InputError](err), isA[*demo.SizeError](err), isA[*deployment.UnknownDeploymentError](err), isA[*operate.NotFoundError](err), isA[*operate.StateError](err), isA[*operate.InvalidObjectError](err):
+		return ExitInvalid
+	case isA[*platform.ConflictError](err), isA[*operate.ConflictError](err):
 		return ExitConflict
-	case isA[*platform.UnavailableError](err), isA[*OperatorError](err):
+	case isA[*operate.NotInForceError](err):
+		return ExitNotInForce
+	case isA[*operate.UncertainError](err), isA[*platform.UnavailableError](err), isA[*OperatorError](err):
 		return ExitUnreachable
 	default:
 		return ExitFailed
@@ -67,6 +76,19 @@
 	return enc.Encode(v)
 }
 
+// printTable writes rows in columns, or v as JSON.
+func (e *env) printTable(v any, header []string, rows [][]string) error {
+	if e.format == outputJSON {
+		return e.printJSON(v)
+	}
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(header, "\t")) // Flush reports errors
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
 // printLine writes a line for people, or v as JSON.
 func (e *env) printLine(v any, format string, args ...any) error {
 	if e.format == outputJSON {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -19,6 +19,7 @@
 	out    io.Writer
 	errOut io.Writer
 	format string // outputText or outputJSON
+	began  bool   // a command has begun to run
 }
 
 // Forms of output.
@@ -45,6 +46,9 @@
 	if err == nil {
 		return ExitOK
 	}
+	if !e.began {
+		err = asUsage(err)
+	}
 	e.printError(err)
 	return exitCode(err)
 }
@@ -70,6 +74,7 @@
 			if e.format != outputText && e.format != outputJSON {
 				return &UsageError{Detail: fmt.Sprintf("--output is %q, want text or json", e.format)}
 			}
+			e.began = true
 			return nil
 		},
 	}
@@ -79,6 +84,7 @@
 	})
 	root.AddCommand(
 		newServe(e), newCheckConfig(e), newVersion(e), newDump(e), newDemo(e),
+		newCatalogue(e), newServer(e), newStatus(e),
 	)
 	return root
 }
@@ -90,6 +96,14 @@
 	return e.Detail + "\nrun the command with --help to see its use"
 }
 
+// asUsage gives errors of cobra, such as an unknown command, their type.
+func asUsage(err error) error {
+	if isA[*UsageError](err) {
+		return err
+	}
+	return &UsageError{Detail: err.Error()}
+}
+
 // exactArgs checks the number of arguments and names them in the error.
 func exactArgs(names ...string) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -20,6 +20,9 @@
 once. The settings file "-" is standard input.`,
 		Args: exactArgs(),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				return &UsageError{Detail: "serve needs --config FILE"}
+			}
 			settings, err := config.Load(file)
 			if err != nil {
 				return err
@@ -29,7 +32,6 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "settings file, JSON with comments")
-	_ = cmd.MarkFlagRequired("config") // the flag exists
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"egretroad/internal/operate"
+)
+
+func newStatus(e *env) *cobra.Command {
+	var c client
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the fleet: proxies, versions in force, primaries and promotions",
+		Long: `Shows, from the platform, each data centre's live proxies with the version in
+force, and each database group with its primary, term and promotion in progress.
+Counters of each kind of work are at a proxy's operator address: see dump --metrics.`,
+		Args: exactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.with(cmd, func(ctx context.Context, o *operate.Operator) error {
+				status, err := o.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return printStatus(e, status)
+			})
+		},
+	}
+	c.addFlags(cmd)
+	return cmd
+}
+
+func printStatus(e *env, s operate.FleetStatus) error {
+	if e.format == outputJSON {
+		return e.printJSON(s)
+	}
+	var rows [][]string
+	for _, dc := range s.DataCentres {
+		for _, vm := range dc.VMs {
+			rows = append(rows, []string{dc.DataCentre, vm.ID, strconv.FormatUint(vm.Revision, 10), strings.Join(vm.Invalid, " ")})
+		}
+	}
+	for _, lag := range s.Missing {
+		rows = append(rows, []string{lag.DataCentre, lag.VM, "not reported", ""})
+	}
+	if err := e.printTable(nil, []string{"DATA CENTRE", "PROXY", "IN FORCE", "REFUSED OBJECTS"}, rows); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(e.out, "\n%d catalogue entries\n\n", s.Entries) // the table reports errors
+	return e.printTable(nil, []string{"DATABASE", "PRIMARY", "TERM", "SERVERS", "PROMOTION", "FAULT"}, groupRows(s.Groups))
+}
+
+func groupRows(groups []operate.GroupStatus) [][]string {
+	rows := make([][]string, 0, len(groups))
+	for _, g := range groups {
+		promotion := "none"
+		if g.Promotion != nil {
+			promotion = fmt.Sprintf("term %d by %s: %s (%s)", g.Promotion.Term, g.Promotion.Coordinator, g.Promotion.Step, g.Promotion.Reason)
+		}
+		rows = append(rows, []string{g.Database, g.Primary, strconv.FormatUint(g.Term, 10), strconv.Itoa(g.Servers), promotion, g.Invalid})
+	}
+	return rows
+}
