Let only the outermost outcome of an error be found

Change: UnknownError and NotRunError do not unwrap to a cause with an outcome of its own; a test; the history tests over faults and failures; hooks of a proxy for tests.

--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,182 @@
+package e2e_test
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/demo"
+	"egretroad/internal/e2e/history"
+	"egretroad/internal/e2e/workload"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/proxy"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/standin/pgserver"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	fleetKey   = "test-fleet-key-0123456789"
+	startLimit = 30 * time.Second
+	patience   = 20 * time.Second
+)
+
+var (
+	seedsFlag    = flag.Int("e2e.seeds", 20, "number of seeds of the history tests")
+	firstFlag    = flag.Uint64("e2e.seed", 1, "first seed of the history tests")
+	durationFlag = flag.Duration("e2e.duration", 1500*time.Millisecond, "length of each history")
+	logFlag      = flag.Bool("e2e.log", false, "write the proxies' logs to standard error")
+)
+
+// fleet is a deployment with proxies in this process.
+type fleet struct {
+	*deployment.Deployment
+	t    *testing.T
+	log  hclog.Logger
+	hook proxy.Hooks
+
+	mu      sync.Mutex // guards proxies
+	proxies []*proxy.Proxy
+}
+
+// startFleet starts a small deployment whose servers record everything.
+func startFleet(t *testing.T, seed uint64, hook proxy.Hooks, edit func(*deployment.Options)) *fleet {
+	t.Helper()
+	g := NewWithT(t)
+	o := deployment.DefaultOptions()
+	o.Seed = seed
+	o.Scale = 0.1
+	o.Record = true
+	if edit != nil {
+		edit(&o)
+	}
+	d, err := deployment.Start(o)
+	g.Expect(err).NotTo(HaveOccurred())
+	f := &fleet{Deployment: d, t: t, log: eventlog.Discard(), hook: hook, proxies: make([]*proxy.Proxy, len(d.VMs))}
+	if *logFlag {
+		f.log = eventlog.New(os.Stderr, hclog.Info)
+	}
+	t.Cleanup(f.close)
+	for i := range d.VMs {
+		f.start(i)
+	}
+	for _, p := range f.proxies {
+		g.Eventually(p.Ready, startLimit).Should(BeTrue())
+	}
+	return f
+}
+
+// start starts the proxy of a VM.
+func (f *fleet) start(i int) {
+	f.t.Helper()
+	g := NewWithT(f.t)
+	vm := f.VMs[i]
+	p, err := proxy.NewWithHooks(demo.Settings(f.Deployment, vm, fleetKey), f.log.With("vm", vm.ID), f.hook)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.Start(context.Background())).To(Succeed())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proxies[i] = p
+}
+
+// kill ends a proxy as a dead VM does.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	p := f.proxies[i]
+	f.proxies[i] = nil
+	f.mu.Unlock()
+	if p != nil {
+		p.Kill()
+	}
+}
+
+// addresses lists the callers' addresses of the proxies that run.
+func (f *fleet) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []string
+	for _, p := range f.proxies {
+		if p != nil {
+			all = append(all, p.CallerAddr())
+		}
+	}
+	return all
+}
+
+func (f *fleet) close() {
+	for i := range f.VMs {
+		f.kill(i)
+	}
+	f.Deployment.Close()
+}
+
+// settle ends all faults and waits until replication has caught up.
+func (f *fleet) settle(group *pgserver.Group) {
+	f.t.Helper()
+	g := NewWithT(f.t)
+	g.Expect(f.Fault(deployment.ActionHeal)).To(Succeed())
+	group.SetLag(0)
+	group.SetCommitCuts(0)
+}
+
+// seedKeys returns rows that every list of a workload must hold.
+func seedRows(group *pgserver.Group) []string {
+	rows := map[string]string{}
+	var keys []string
+	for _, key := range []string{"seed-a", "seed-b", "seed-c"} {
+		rows[key] = history.Payload(key, "", 200)
+		keys = append(keys, key)
+	}
+	group.Seed(rows)
+	return keys
+}
+
+// runWorkload runs callers beside a schedule of faults and audits the result.
+func (f *fleet) runWorkload(o workload.Options, length time.Duration, faults func(context.Context, *rand.Rand)) (*workload.Workload, []history.Violation) {
+	f.t.Helper()
+	group := f.Groups[o.Database]
+	o.SeededKeys = seedRows(group)
+	w := workload.New(o, f.addresses)
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	var wg sync.WaitGroup
+	if faults != nil {
+		wg.Go(func() { faults(ctx, rand.New(rand.NewPCG(o.Seed, 99))) })
+	}
+	w.Run(ctx)
+	wg.Wait()
+	f.settle(group)
+	return w, w.Audit(group)
+}
+
+// broken lists the rules that violations break, sorted.
+func broken(found []history.Violation) []history.Rule {
+	var rules []history.Rule
+	for _, v := range found {
+		if !slices.Contains(rules, v.Rule) {
+			rules = append(rules, v.Rule)
+		}
+	}
+	slices.Sort(rules)
+	return rules
+}
+
+// report logs the first violations of a failed run.
+func report(t *testing.T, found []history.Violation) {
+	t.Helper()
+	for i, v := range found {
+		if i == 5 {
+			t.Logf("and %d more", len(found)-i)
+			return
+		}
+		t.Logf("%.1500v", v)
+	}
+}
--- /dev/null
+++ b/internal/e2e/history_test.go
@@ -0,0 +1,129 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/e2e/workload"
+	"egretroad/internal/proxy"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/standin/objectapi"
+	"egretroad/internal/standin/pgserver"
+)
+
+// faultInterval is the mean time between two faults of a schedule.
+const faultInterval = 150 * time.Millisecond
+
+// pause waits until the schedule's next fault; it returns false at the end.
+func pause(ctx context.Context, rng *rand.Rand) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(rng.Int64N(int64(2 * faultInterval)))):
+		return true
+	}
+}
+
+// smallFaults injects lag, silence, dropped connections, cut commits and lost
+// answers of the platform, in an order that the seed gives.
+func (f *fleet) smallFaults(group *pgserver.Group) func(context.Context, *rand.Rand) {
+	return func(ctx context.Context, rng *rand.Rand) {
+		for pause(ctx, rng) {
+			server := group.Servers()[rng.IntN(len(group.Servers()))]
+			switch rng.IntN(6) {
+			case 0:
+				server.SetLag(time.Duration(rng.IntN(200)) * time.Millisecond)
+			case 1:
+				server.Silence()
+			case 2:
+				server.DropConnections()
+			case 3:
+				group.SetCommitCuts(0.2 * rng.Float64())
+			case 4:
+				f.Platform.LoseAnswers(1, objectapi.CallPut)
+			case 5:
+				server.Slow(1 + 20*rng.Float64())
+			}
+		}
+	}
+}
+
+// Callers that roam over three proxies, while replicas lag and connections
+// break, see no promise broken.
+func TestHistories(t *testing.T) {
+	for i := range *seedsFlag {
+		seed := *firstFlag + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := startFleet(t, seed, proxy.Hooks{}, nil)
+			o := workload.DefaultOptions()
+			o.Seed = seed
+			o.Pause = 2 * time.Millisecond
+			w, found := f.runWorkload(o, *durationFlag, f.smallFaults(f.Groups[o.Database]))
+			report(t, found)
+			g.Expect(broken(found)).To(BeEmpty())
+			c := w.Counts()
+			t.Logf("ok %d, not run %d, failed %d, unknown %d, connect failed %d",
+				c.OK.Load(), c.NotRun.Load(), c.Failed.Load(), c.Unknown.Load(), c.ConnectFailed.Load())
+			g.Expect(c.OK.Load()).To(BeNumerically(">", 50))
+		})
+	}
+}
+
+// largeFaults are faults that end a primary, a proxy or a data centre.
+var largeFaults = map[string]func(f *fleet, group *pgserver.Group, rng *rand.Rand) error{
+	"stopped primary": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		group.Primary().Stop()
+		return nil
+	},
+	"silent primary": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		group.Primary().SilenceAll()
+		return nil
+	},
+	"cut data centre": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		return f.Fault(deployment.ActionCut, group.Primary().Spec().DataCentre)
+	},
+	"dead proxy": func(f *fleet, _ *pgserver.Group, rng *rand.Rand) error {
+		f.kill(rng.IntN(len(f.VMs)))
+		return nil
+	},
+}
+
+// failoverLength leaves time to detect a failure, wait out leases and promote.
+const failoverLength = 7 * time.Second
+
+// Callers see no promise broken over failovers and the death of a proxy.
+func TestHistoriesOverFailures(t *testing.T) {
+	for name, fault := range largeFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := startFleet(t, *firstFlag, proxy.Hooks{}, nil)
+			o := workload.DefaultOptions()
+			o.Seed = *firstFlag
+			o.Pause = 5 * time.Millisecond
+			o.OpTimeout = 8 * time.Second
+			group := f.Groups[o.Database]
+			w, found := f.runWorkload(o, failoverLength, func(ctx context.Context, rng *rand.Rand) {
+				time.Sleep(500 * time.Millisecond)
+				if err := fault(f, group, rng); err != nil {
+					t.Error(err)
+				}
+			})
+			report(t, found)
+			g.Expect(broken(found)).To(BeEmpty())
+			g.Expect(group.DoublePromotions()).To(BeZero())
+			c := w.Counts()
+			t.Logf("ok %d, not run %d, failed %d, unknown %d, connect failed %d, term %d",
+				c.OK.Load(), c.NotRun.Load(), c.Failed.Load(), c.Unknown.Load(), c.ConnectFailed.Load(),
+				group.Primary().Stats().Term)
+			g.Expect(c.OK.Load()).To(BeNumerically(">", 50))
+		})
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -4,6 +4,7 @@
 package outcome
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -61,8 +62,8 @@
 	return fmt.Sprintf("not run: %s: %s", e.Reason, e.Detail)
 }
 
-// Unwrap returns the cause.
-func (e *NotRunError) Unwrap() error { return e.Cause }
+// Unwrap returns the cause, but for a cause with an outcome of its own.
+func (e *NotRunError) Unwrap() error { return withoutOutcome(e.Cause) }
 
 // UnknownError reports a request that may or may not have taken effect. Sending
 // it again is safe only for repeatable work.
@@ -76,8 +77,20 @@
 	return fmt.Sprintf("outcome unknown: %s: %s", e.Reason, e.Detail)
 }
 
-// Unwrap returns the cause.
-func (e *UnknownError) Unwrap() error { return e.Cause }
+// Unwrap returns the cause, but for a cause with an outcome of its own.
+func (e *UnknownError) Unwrap() error { return withoutOutcome(e.Cause) }
+
+// withoutOutcome hides a cause that holds another outcome, so that errors.As
+// finds the outermost outcome only: a commit whose confirmation could not run is
+// unknown, not "not run".
+func withoutOutcome(cause error) error {
+	var notRun *NotRunError
+	var unknown *UnknownError
+	if errors.As(cause, &notRun) || errors.As(cause, &unknown) {
+		return nil
+	}
+	return cause
+}
 
 // FailedError reports a server's own error outside the message stream, for
 // example on an administrative query.
--- a/internal/proxy/components.go
+++ b/internal/proxy/components.go
@@ -22,6 +22,7 @@
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
+	"egretroad/internal/txn"
 )
 
 // components provides every part of a proxy.
@@ -106,12 +107,16 @@
 	return c
 }
 
-func newHomes(self topology.VM, p *topology.Publisher, l *leases, c *control.Control, d *dispatch.Dispatcher, n *peer.Node, s config.Settings, log hclog.Logger, m *metrics.Registry) *home.Manager {
+func newHomes(self topology.VM, p *topology.Publisher, l *leases, c *control.Control, d *dispatch.Dispatcher, n *peer.Node, s config.Settings, hooks Hooks, log hclog.Logger, m *metrics.Registry) *home.Manager {
 	o := home.DefaultOptions()
 	o.Pool.Backend.BindIP = s.VM.Address
 	o.Pool.Backend.User, o.Pool.Backend.Password = s.Servers.User, s.Servers.Password
+	permit := l.Authority()
+	if hooks.Authority != nil {
+		permit = hooks.Authority(permit)
+	}
 	h := home.New(o, home.Deps{
-		Self: self.ID, Source: p, Authority: l.Authority(),
+		Self: self.ID, Source: p, Authority: permit,
 		Observe: func(e reducer.ServerObserved) { c.Post(e) },
 		Log:     log.Named("home"), Metrics: m,
 	})
@@ -120,7 +125,7 @@
 	return h
 }
 
-func newGateway(s config.Settings, p *topology.Publisher, d *dispatch.Dispatcher, _ *home.Manager, n *peer.Node, log hclog.Logger, m *metrics.Registry) (*gateway.Gateway, error) {
+func newGateway(s config.Settings, p *topology.Publisher, d *dispatch.Dispatcher, _ *home.Manager, n *peer.Node, hooks Hooks, log hclog.Logger, m *metrics.Registry) (*gateway.Gateway, error) {
 	o := gateway.DefaultOptions()
 	o.FleetKey = []byte(s.Peers.FleetKey)
 	o.MaxConnections, o.MaxMessageBytes = s.Callers.MaxConnections, s.Callers.MaxMessage
@@ -133,8 +138,12 @@
 		return nil, err
 	}
 	o.TLS = conf
+	var homes txn.Home = d
+	if hooks.Home != nil {
+		homes = hooks.Home(homes)
+	}
 	g := gateway.New(o, gateway.Deps{
-		Source: p, Home: d, Log: log.Named("gateway"), Metrics: m,
+		Source: p, Home: homes, Log: log.Named("gateway"), Metrics: m,
 		Now: clock.Boottime, ForwardCancel: gateway.ForwardByPeer(n),
 	})
 	g.RegisterPeer(n)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"egretroad/internal/operator"
 	"egretroad/internal/peer"
 	"egretroad/internal/topology"
+	"egretroad/internal/txn"
 )
 
 // startTimeout bounds the start of the listeners; control may take longer.
@@ -51,8 +52,20 @@
 	Log       hclog.Logger
 }
 
+// Hooks wrap parts of a proxy, so that tests can break a rule on purpose. The
+// zero value wraps nothing.
+type Hooks struct {
+	Home      func(txn.Home) txn.Home           // as the gateway sees the fleet
+	Authority func(txn.Authority) txn.Authority // as the homes see it
+}
+
 // New builds a proxy and opens its listeners.
 func New(settings config.Settings, log hclog.Logger) (*Proxy, error) {
+	return NewWithHooks(settings, log, Hooks{})
+}
+
+// NewWithHooks is New with wrapped parts, for tests.
+func NewWithHooks(settings config.Settings, log hclog.Logger, hooks Hooks) (*Proxy, error) {
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
@@ -61,7 +74,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(settings.Shutdown.DrainTimeout.D()+stopMargin),
-		fx.Supply(settings),
+		fx.Supply(settings, hooks),
 		fx.Provide(func() hclog.Logger { return log }),
 		components,
 		fx.Populate(&p.parts),
