Add a broken variant of each rule that the checkers must find

Cause: a checker that cannot fail proves nothing. Change: hooks break read-your-writes, at most once, not-run, wholeness, mixing and the survival of acknowledged writes in the proxy itself. Conclusion: go test -race ./internal/e2e -run Broken finds all six.

--- /dev/null
+++ b/internal/e2e/broken_test.go
@@ -0,0 +1,236 @@
+package e2e_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/e2e/history"
+	"egretroad/internal/e2e/workload"
+	"egretroad/internal/outcome"
+	"egretroad/internal/proxy"
+	"egretroad/internal/topology"
+	"egretroad/internal/txn"
+)
+
+// brokenHome is a txn.Home whose Open a test replaces.
+type brokenHome struct {
+	txn.Home
+	open func(ctx context.Context, r txn.Request) (txn.Lane, error)
+}
+
+func (h *brokenHome) Open(ctx context.Context, r txn.Request) (txn.Lane, error) {
+	return h.open(ctx, r)
+}
+
+// brokenLane is a txn.Lane whose Run a test replaces.
+type brokenLane struct {
+	txn.Lane
+	run func(ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error)
+}
+
+func (l *brokenLane) Run(ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+	return l.run(ctx, b, sink)
+}
+
+// onRun returns a hook that replaces Run of every lane.
+func onRun(run func(inner txn.Home, r txn.Request, l txn.Lane, ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error)) proxy.Hooks {
+	return proxy.Hooks{Home: func(inner txn.Home) txn.Home {
+		return &brokenHome{Home: inner, open: func(ctx context.Context, r txn.Request) (txn.Lane, error) {
+			l, err := inner.Open(ctx, r)
+			if err != nil {
+				return nil, err
+			}
+			return &brokenLane{Lane: l, run: func(ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+				return run(inner, r, l, ctx, b, sink)
+			}}, nil
+		}}
+	}}
+}
+
+// readsAnywhere sends reads to any server of a group and asks for no mark.
+func readsAnywhere(servers ...string) proxy.Hooks {
+	var n atomic.Uint64
+	return proxy.Hooks{Home: func(inner txn.Home) txn.Home {
+		return &brokenHome{Home: inner, open: func(ctx context.Context, r txn.Request) (txn.Lane, error) {
+			if r.Access == catalogue.AccessRead {
+				r.Server = servers[n.Add(1)%uint64(len(servers))]
+				r.Mark = topology.Mark{}
+			}
+			return inner.Open(ctx, r)
+		}}
+	}}
+}
+
+// writesTwice sends each committed write again, as a retry on a guess would.
+func writesTwice() proxy.Hooks {
+	return onRun(func(inner txn.Home, r txn.Request, l txn.Lane, ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+		result, err := l.Run(ctx, b, sink)
+		if err != nil || r.Access != catalogue.AccessWrite || !b.MayCommit {
+			return result, err
+		}
+		if again, openErr := inner.Open(ctx, r); openErr == nil {
+			_, _ = again.Run(ctx, b, func([]byte) error { return nil })
+			again.Close()
+		}
+		return result, nil
+	})
+}
+
+// deniesCommits tells the caller that a committed write has not run.
+func deniesCommits() proxy.Hooks {
+	return onRun(func(_ txn.Home, r txn.Request, l txn.Lane, ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+		var answer []byte
+		result, err := l.Run(ctx, b, func(m []byte) error {
+			answer = append(answer, m...)
+			return nil
+		})
+		if err == nil && r.Access == catalogue.AccessWrite && !result.Mark.IsZero() {
+			return txn.Result{}, &outcome.NotRunError{Reason: outcome.ReasonRateLimit}
+		}
+		if err == nil && len(answer) > 0 {
+			err = sink(answer)
+		}
+		return result, err
+	})
+}
+
+// swapsAnswers delivers to each read the answer of the read before it.
+func swapsAnswers() proxy.Hooks {
+	var mu sync.Mutex
+	var previous []byte
+	return onRun(func(_ txn.Home, r txn.Request, l txn.Lane, ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+		var answer []byte
+		result, err := l.Run(ctx, b, func(m []byte) error {
+			answer = append(answer, m...)
+			return nil
+		})
+		if r.Access == catalogue.AccessRead && len(answer) > 100 && len(answer) < 600 {
+			mu.Lock()
+			if previous != nil {
+				answer, previous = previous, answer
+			} else {
+				previous = append([]byte(nil), answer...)
+			}
+			mu.Unlock()
+		}
+		if err == nil && len(answer) > 0 {
+			err = sink(answer)
+		}
+		return result, err
+	})
+}
+
+// sharedLane lets several transactions run on one connection.
+type sharedLane struct {
+	txn.Lane // the first one, for Cancel
+	mu       sync.Mutex
+	current  txn.Lane // nil when it has ended
+	reopen   func(context.Context) (txn.Lane, error)
+}
+
+func (l *sharedLane) Run(ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		lane, err := l.reopen(ctx)
+		if err != nil {
+			return txn.Result{}, err
+		}
+		l.current = lane
+	}
+	result, err := l.current.Run(ctx, b, sink)
+	if err != nil || result.TxStatus == 'I' {
+		l.current = nil
+	}
+	return result, err
+}
+
+func (l *sharedLane) Close() {}
+
+// sharesConnections puts all writes of a proxy on one connection.
+func sharesConnections() proxy.Hooks {
+	return proxy.Hooks{Home: func(inner txn.Home) txn.Home {
+		var mu sync.Mutex
+		var shared *sharedLane
+		return &brokenHome{Home: inner, open: func(ctx context.Context, r txn.Request) (txn.Lane, error) {
+			if r.Access != catalogue.AccessWrite {
+				return inner.Open(ctx, r)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if shared == nil {
+				first, err := inner.Open(ctx, r)
+				if err != nil {
+					return nil, err
+				}
+				shared = &sharedLane{Lane: first, current: first, reopen: func(ctx context.Context) (txn.Lane, error) {
+					return inner.Open(ctx, r)
+				}}
+			}
+			return shared, nil
+		}}
+	}}
+}
+
+// confirmsAll acknowledges every write at once.
+type confirmsAll struct{ txn.Authority }
+
+func (confirmsAll) Confirm(context.Context, topology.Mark, catalogue.Confirm) error { return nil }
+
+// Each rule has a variant of the proxy that breaks it; the checkers must say so.
+func TestCheckersFindBrokenRules(t *testing.T) {
+	const lag = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		hooks proxy.Hooks
+		lag   time.Duration
+		// lagging names the servers that the lag applies to
+		lagging []string
+		length  time.Duration
+		fault   func(*fleet)
+		want    history.Rule
+	}{
+		"reads on any replica": {
+			hooks: readsAnywhere("orders1-a", "orders1-b", "orders1-c"), lag: lag, lagging: []string{"orders1-c"},
+			want: history.RuleReadYourWrites,
+		},
+		"writes sent twice":  {hooks: writesTwice(), want: history.RuleAtMostOnce},
+		"commits denied":     {hooks: deniesCommits(), want: history.RuleNotRun},
+		"answers swapped":    {hooks: swapsAnswers(), want: history.RuleWholeAnswers},
+		"connections shared": {hooks: sharesConnections(), want: history.RuleNoMixing},
+		"unconfirmed acknowledged": {
+			hooks: proxy.Hooks{Authority: func(a txn.Authority) txn.Authority { return confirmsAll{a} }},
+			lag:   time.Hour, lagging: []string{"orders1-b", "orders1-c"},
+			length: failoverLength, want: history.RuleNoLostWrite,
+			fault: func(f *fleet) { f.Groups["orders1"].Primary().Stop() },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := startFleet(t, *firstFlag, c.hooks, nil)
+			o := workload.DefaultOptions()
+			o.Pause = 2 * time.Millisecond
+			o.OpTimeout = 8 * time.Second
+			for _, id := range c.lagging {
+				f.Server(id).SetLag(c.lag)
+			}
+			length := max(c.length, *durationFlag)
+			w, found := f.runWorkload(o, length, func(context.Context, *rand.Rand) {
+				if c.fault != nil {
+					time.Sleep(length / 10)
+					c.fault(f)
+				}
+			})
+			t.Logf("ok %d, not run %d, failed %d, unknown %d", w.Counts().OK.Load(), w.Counts().NotRun.Load(),
+				w.Counts().Failed.Load(), w.Counts().Unknown.Load())
+			g.Expect(broken(found)).To(ContainElement(c.want))
+		})
+	}
+}
