--- a/internal/e2e/workload/caller.go
+++ b/internal/e2e/workload/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -24,6 +25,13 @@
 	sqlUpsert = sqlInsert + " ON CONFLICT (key) DO UPDATE SET value = $2"
 )
 
+// Parts of the keys that transactions of two rows write.
+const (
+	pairPrefix = "pair-"
+	firstPart  = "a"
+	secondPart = "b"
+)
+
 // caller is one logical session: one person's work, which moves between
 // proxies and expects its own writes on each of them.
 type caller struct {
@@ -96,7 +104,7 @@
 }
 
 func (c *caller) ownKey() string {
-	return fmt.Sprintf("own-%d-%d", c.id, c.rng.IntN(c.workload.options.Keys))
+	return fmt.Sprintf("own-%s-%d-%d", c.workload.options.Name, c.id, c.rng.IntN(c.workload.options.Keys))
 }
 
 // write runs one of the forms in which callers write.
@@ -177,8 +185,8 @@
 func (c *caller) transaction(ctx context.Context) {
 	tag := c.workload.newTag(c.id, 2)
 	var ops []history.Operation
-	for _, part := range []string{"a", "b"} {
-		key := "pair-" + history.Tag(tag) + part
+	for _, part := range []string{firstPart, secondPart} {
+		key := pairPrefix + history.Tag(tag) + part
 		ops = append(ops, c.begin(c.session, history.Write, key, c.payload(key, tag)))
 	}
 	err := c.runTransaction(ctx, ops)
@@ -227,7 +235,7 @@
 // shared reads or writes a key of all callers over a new connection, so that
 // its read must see everything acknowledged before it connected.
 func (c *caller) shared(ctx context.Context) {
-	key := fmt.Sprintf("shared-%d", c.rng.IntN(sharedKeys))
+	key := fmt.Sprintf("shared-%s-%d", c.workload.options.Name, c.rng.IntN(sharedKeys))
 	call := c.workload.recorder.Now()
 	work := c.workload.options.ReadKind
 	writes := c.rng.IntN(3) == 0
@@ -261,3 +269,9 @@
 	}
 	c.workload.found(history.CheckList(all, rows.CommandTag().RowsAffected(), c.workload.options.SeededKeys))
 }
+
+// SecondRow reports whether an operation is the second row of a transaction of
+// two, so that transactions can be counted.
+func SecondRow(op history.Operation) bool {
+	return strings.HasPrefix(op.Key, pairPrefix) && strings.HasSuffix(op.Key, secondPart)
+}
--- a/internal/e2e/workload/workload.go
+++ b/internal/e2e/workload/workload.go
@@ -15,6 +15,7 @@
 
 // Options describe a workload on one database.
 type Options struct {
+	Name      string // of the run; part of all keys, so that runs on one database keep apart
 	Database  string
 	WriteKind string // kind of work of writes
 	ReadKind  string // kind of work of reads
@@ -128,7 +129,7 @@
 
 // newTag returns a unique name for a transaction of the given number of rows.
 func (w *Workload) newTag(caller, rows int) string {
-	tag := fmt.Sprintf("c%d-%d", caller, w.sequence.Add(1))
+	tag := fmt.Sprintf("%sc%d-%d", w.options.Name, caller, w.sequence.Add(1))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rows[tag] = rows
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -17,7 +17,9 @@
 	"github.com/spf13/cobra"
 
 	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
+	"egretroad/tools/measure/reads"
 	"egretroad/tools/measure/report"
 )
 
@@ -26,7 +28,9 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"path": path.Run,
+	"outcomes": outcomes.Run,
+	"path":     path.Run,
+	"reads":    reads.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
--- /dev/null
+++ b/tools/measure/reads/reads.go
@@ -0,0 +1,254 @@
+// Package reads measures the share of reads that replicas serve while they lag
+// and sessions roam and write, and checks that every session reads its own
+// writes.
+package reads
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"egretroad/internal/e2e/history"
+	"egretroad/internal/e2e/workload"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/standin/pgserver"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+// Sizes of the measurement.
+const (
+	proxies        = 9
+	phaseDuration  = 8 * time.Second
+	callers        = 8 // on each database
+	roamEvery      = 5
+	writeEvery     = 10
+	callerPause    = 20 * time.Millisecond
+	minLag         = 20 * time.Millisecond
+	maxLag         = 200 * time.Millisecond
+	lagChangeEvery = 500 * time.Millisecond
+	farBehind      = 10 * time.Second
+)
+
+// Bounds, from the stated target.
+const (
+	minReplicaShare          = 0.95
+	minReplicaShareOneBehind = 0.90
+)
+
+// kinds are the kinds of work of a deployment's reads and writes.
+type kinds struct{ read, write string }
+
+var kindsOf = map[string]kinds{
+	deployment.BrightSpokes: {"stock", "orders"},
+	deployment.CabraRonda:   {"routes", "tallies"},
+}
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	r := report.New("reads", env.Seed)
+	for _, name := range []string{deployment.BrightSpokes, deployment.CabraRonda} {
+		if env.Deployment != "" && env.Deployment != name {
+			continue
+		}
+		m := &measurement{env: env, report: r, name: name}
+		if err := m.run(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// measurement is the run of one deployment.
+type measurement struct {
+	env    *report.Env
+	report *report.Report
+	name   string
+	fleet  *fleet.Fleet
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	o := deployment.DefaultOptions()
+	o.Name, o.Proxies, o.Seed, o.Record = m.name, proxies, m.env.Seed, true
+	f, err := fleet.Start(ctx, fleet.Options{Binary: m.env.Binary, Deployment: o})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	m.fleet = f
+	lagging, err := m.phase(ctx, "lagging-", false)
+	if err != nil {
+		return err
+	}
+	m.report.AtLeast(m.name+".replica_share", lagging.replicaShare(), minReplicaShare)
+	m.report.Set(m.name+".position_queries_per_read", lagging.positionsPerRead())
+	m.report.Set(m.name+".read_p50_ms", lagging.millis(50))
+	m.report.Set(m.name+".read_p99_ms", lagging.millis(99))
+	behind, err := m.phase(ctx, "one-behind-", true)
+	if err != nil {
+		return err
+	}
+	m.report.AtLeast(m.name+".replica_share_one_behind", behind.replicaShare(), minReplicaShareOneBehind)
+	m.report.Exactly(m.name+".violations", float64(lagging.violations+behind.violations), 0)
+	m.report.Set(m.name+".reads", float64(lagging.reads()+behind.reads()))
+	m.report.Set(m.name+".not_answered", float64(lagging.notAnswered+behind.notAnswered))
+	return nil
+}
+
+// phaseResult counts one phase.
+type phaseResult struct {
+	primaryReads, replicaReads int64
+	positions                  int64
+	violations                 int
+	notAnswered                int64
+	latency                    *hdrhistogram.Histogram // of answered reads, in microseconds
+}
+
+// Range and precision of the latency histogram.
+const (
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+)
+
+func (p phaseResult) millis(percentile float64) float64 {
+	return float64(p.latency.ValueAtPercentile(percentile)) / 1000
+}
+
+// addReads records the latencies of answered reads.
+func (p phaseResult) addReads(ops []history.Operation) {
+	for _, op := range ops {
+		if op.Kind == history.Read && op.Outcome == history.OK {
+			_ = p.latency.RecordValue(min((op.Return - op.Call).Microseconds(), maxLatencyMicros))
+		}
+	}
+}
+
+func (p phaseResult) reads() int64 { return p.primaryReads + p.replicaReads }
+
+func (p phaseResult) replicaShare() float64 { return float64(p.replicaReads) / float64(p.reads()) }
+
+func (p phaseResult) positionsPerRead() float64 { return float64(p.positions) / float64(p.reads()) }
+
+// phase runs the callers of all databases beside changing lags. With
+// oneBehind, one replica of each database stays far behind.
+func (m *measurement) phase(ctx context.Context, name string, oneBehind bool) (phaseResult, error) {
+	positions, err := m.positions(ctx)
+	if err != nil {
+		return phaseResult{}, err
+	}
+	before := m.serverReads()
+	runCtx, cancel := context.WithTimeout(ctx, phaseDuration)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { m.changeLags(runCtx, oneBehind) })
+	loads := m.startCallers(runCtx, &wg, name)
+	wg.Wait()
+	after := m.serverReads()
+	result := phaseResult{
+		primaryReads: after.primaryReads - before.primaryReads,
+		replicaReads: after.replicaReads - before.replicaReads,
+		latency:      hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+	}
+	late, err := m.positions(ctx)
+	if err != nil {
+		return phaseResult{}, err
+	}
+	result.positions = late - positions
+	for database, w := range loads {
+		for _, v := range w.Audit(m.fleet.Groups[database]) {
+			result.violations++
+			m.env.Logf("%s %s: %.600v", m.name, name, v)
+		}
+		result.addReads(w.Operations())
+		c := w.Counts()
+		result.notAnswered += c.NotRun.Load() + c.Failed.Load() + c.Unknown.Load()
+	}
+	m.env.Logf("%s %s: reads %d, on replicas %.4f, position queries per read %.4f, p50 %.1f ms, p99 %.1f ms, not answered %d, violations %d",
+		m.name, name, result.reads(), result.replicaShare(), result.positionsPerRead(),
+		result.millis(50), result.millis(99), result.notAnswered, result.violations)
+	return result, nil
+}
+
+// startCallers starts a workload on each database.
+func (m *measurement) startCallers(ctx context.Context, wg *sync.WaitGroup, name string) map[string]*workload.Workload {
+	var addresses []string
+	for _, p := range m.fleet.Proxies {
+		addresses = append(addresses, p.VM.CallerAddr)
+	}
+	loads := map[string]*workload.Workload{}
+	for i, database := range m.fleet.Databases() {
+		o := workload.DefaultOptions()
+		o.Name = name
+		o.Database, o.ReadKind, o.WriteKind = database, kindsOf[m.name].read, kindsOf[m.name].write
+		o.Callers, o.RoamEvery, o.WriteEvery = callers, roamEvery, writeEvery
+		o.ListEvery, o.SharedEvery = 0, 0
+		o.Pause, o.Seed = callerPause, m.env.Seed+uint64(i)
+		w := workload.New(o, func() []string { return addresses })
+		loads[database] = w
+		wg.Go(func() { w.Run(ctx) })
+	}
+	return loads
+}
+
+// changeLags gives every replica a new lag from time to time.
+func (m *measurement) changeLags(ctx context.Context, oneBehind bool) {
+	rng := rand.New(rand.NewPCG(m.env.Seed, 7))
+	ticker := time.NewTicker(lagChangeEvery)
+	defer ticker.Stop()
+	for {
+		for _, database := range m.fleet.Databases() {
+			setLags(m.fleet.Groups[database], rng, oneBehind)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func setLags(g *pgserver.Group, rng *rand.Rand, oneBehind bool) {
+	for i, s := range g.Servers() {
+		lag := minLag + time.Duration(rng.Int64N(int64(maxLag-minLag)))
+		if oneBehind && i == len(g.Servers())-1 {
+			lag = farBehind
+		}
+		s.SetLag(lag)
+	}
+}
+
+// serverReads counts the reads that the servers have executed.
+func (m *measurement) serverReads() phaseResult {
+	var r phaseResult
+	for _, database := range m.fleet.Databases() {
+		for _, s := range m.fleet.Groups[database].Servers() {
+			stats := s.Stats()
+			r.primaryReads += stats.PrimaryReads
+			r.replicaReads += stats.ReplicaReads
+		}
+	}
+	return r
+}
+
+// gatewayVars is the part of a proxy's metrics that is read here.
+type gatewayVars struct {
+	Gateway struct {
+		PositionQueries int64 `json:"position_queries"`
+	} `json:"gateway"`
+}
+
+// positions counts the position queries of all proxies.
+func (m *measurement) positions(ctx context.Context) (int64, error) {
+	var total int64
+	for _, p := range m.fleet.Proxies {
+		var vars gatewayVars
+		if err := p.JSON(ctx, "/debug/vars", &vars); err != nil {
+			return 0, err
+		}
+		total += vars.Gateway.PositionQueries
+	}
+	return total, nil
+}
