--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/flood"
 	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/reads"
@@ -28,6 +29,7 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
+	"flood":    flood.Run,
 	"outcomes": outcomes.Run,
 	"path":     path.Run,
 	"reads":    reads.Run,
