--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -19,7 +19,9 @@
 	"egretroad/tools/measure/failover"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
+	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
+	"egretroad/tools/measure/reads"
 	"egretroad/tools/measure/report"
 )
 
@@ -31,7 +33,9 @@
 	"failover": failover.Run,
 	"flood":    flood.Run,
 	"outage":   failover.RunOutage,
+	"outcomes": outcomes.Run,
 	"path":     path.Run,
+	"reads":    reads.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
