Report work that a replaced primary refused as not run

Cause: while a leaving primary hands over, writes admitted just before the fence met SQLSTATE 25006, 25P02 behind the hidden transaction, or 40001, and the caller got the server's error for work that could go to the new primary. Change: when the server refuses the whole of a transaction and then reports that it no longer is the primary of the term, the home answers not run with reason primary_replaced, and the gateway sends the work on.

--- a/internal/home/commit.go
+++ b/internal/home/commit.go
@@ -64,6 +64,8 @@
 	if err != nil && !errors.As(err, &refused) {
 		return err
 	}
+	// A server that assigns no transaction ID takes no writes.
+	x.readOnly = x.readOnly || err != nil
 	if len(row) == 1 {
 		x.l.xid, _ = strconv.ParseUint(row[0], 10, 64)
 	}
@@ -145,6 +147,10 @@
 		switch kind {
 		case 'E':
 			x.answer.replaceCompletion(message)
+			var e *backend.ServerError
+			if errors.As(backend.DecodeError(message), &e) {
+				x.noteRefusal(e)
+			}
 		case 'Z':
 			x.l.txStatus = message[messageHeaderBytes]
 			return nil
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -32,6 +32,7 @@
 	sent       bool // a byte may have left
 	received   bool // a byte of an answer came
 	commitSent bool // a commit may have been sent
+	readOnly   bool // the server refused the work as one without the role would
 	cancelled  bool // the statement was cancelled at its deadline or by its caller
 	detach     func() bool
 	detached   chan struct{}
@@ -335,8 +336,9 @@
 	x.answer.add(message)
 	x.answer.failed = true
 	var e *backend.ServerError
-	if errors.As(backend.DecodeError(message), &e) && staleStatement(e.Code) {
-		x.l.suspect = true
+	if errors.As(backend.DecodeError(message), &e) {
+		x.l.suspect = x.l.suspect || staleStatement(e.Code)
+		x.noteRefusal(e)
 	}
 	for len(x.expected) > 0 && x.expected[0].kind != answerReady {
 		x.expected = x.expected[1:]
@@ -420,6 +422,9 @@
 		if err != nil {
 			return txn.Result{}, err
 		}
+		if x.replaced() {
+			return txn.Result{}, notRun(outcome.ReasonReplaced, "server "+x.l.s.id+" no longer takes writes of the term")
+		}
 		result.TxStatus = x.l.txStatus
 		result.Failed = x.answer.failed
 		result.Mark = mark
