Count lost writes and handovers in measure failover

Change: two kinds of write, one with confirm: replica; writes lost of each; the gap of a handover on an operator's mark.

--- a/tools/measure/failover/causes.go
+++ b/tools/measure/failover/causes.go
@@ -107,8 +107,11 @@
 	if !ok {
 		return &NotServingError{Database: database, Detail: "no primary"}
 	}
-	w := startWriters(ctx, outside(f, primary.DataCentre, x.victim), database, "")
+	proxies := outside(f, primary.DataCentre, x.victim)
+	w := startWriters(ctx, proxies, database, "")
 	defer w.stop()
+	leased := startWriters(ctx, proxies, database, leaseKind)
+	defer leased.stop()
 	if err := waitAcks(ctx, w, time.Now(), startupTimeout); err != nil {
 		return err
 	}
@@ -117,8 +120,10 @@
 	inject(f, primary, x)
 	seconds := waitRecovery(ctx, f, w, before, from).Seconds()
 	w.stop()
+	leased.stop()
 	r.gap(cause, seconds)
 	r.count(w)
+	r.countLost(f, w, leased)
 	after := group(f, database)
 	env.Logf("%s %s: gap %.2f s, term %d to %d, primary %s to %s, failed writes %v",
 		database, cause, seconds, before.Term, after.Term, before.Primary, after.Primary, w.failures())
@@ -288,9 +293,75 @@
 			return err
 		}
 	}
+	if err := measureHandovers(ctx, env, f, r); err != nil {
+		return err
+	}
 	return measureStoreDown(ctx, env, f, r)
 }
 
+// measureHandovers marks each primary as leaving, then as active again.
+func measureHandovers(ctx context.Context, env *report.Env, f *fleet.Fleet, r *results) error {
+	for _, database := range f.Databases() {
+		before := group(f, database)
+		w := startWriters(ctx, f.Proxies, database, leaseKind)
+		if err := waitAcks(ctx, w, time.Now(), startupTimeout); err != nil {
+			w.stop()
+			return err
+		}
+		from := time.Now()
+		err := mark(f, database, before.Primary, topology.ServerLeaving)
+		seconds := waitRecovery(ctx, f, w, before, from).Seconds()
+		w.stop()
+		if err == nil {
+			err = mark(f, database, before.Primary, topology.ServerActive)
+		}
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.planned = append(r.planned, seconds)
+		r.lost += countMissing(f, w)
+		r.mu.Unlock()
+		r.count(w)
+		env.Logf("%s planned: gap %.2f s, failed writes %v", database, seconds, w.failures())
+	}
+	return nil
+}
+
+// mark changes the operator's mark on a server.
+func mark(f *fleet.Fleet, database, server string, state topology.ServerState) error {
+	g := group(f, database)
+	for i := range g.Servers {
+		if g.Servers[i].ID == server {
+			g.Servers[i].State = state
+		}
+	}
+	_, err := f.Platform.Put(platform.KindGroup, database, g)
+	return err
+}
+
+// countLost counts acknowledged writes that the new primary does not have.
+func (r *results) countLost(f *fleet.Fleet, confirmed, leased *writers) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost += countMissing(f, confirmed)
+	r.lostOnes += countMissing(f, leased)
+	acked, _, _ := leased.totals()
+	r.leased += acked
+}
+
+// countMissing counts the acknowledged keys that are not at the primary.
+func countMissing(f *fleet.Fleet, w *writers) int {
+	data := f.Server(group(f, w.database).Primary).Data()
+	missing := 0
+	for _, key := range w.keys {
+		if _, ok := data[key]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
+
 // slowKinds is the number of ways in which a server is slow but alive.
 const slowKinds = 4
 
--- a/tools/measure/failover/failover.go
+++ b/tools/measure/failover/failover.go
@@ -54,6 +54,10 @@
 	wrong    int // promotions of servers that are slow but alive
 	slowRuns int
 	storeGap []float64
+	planned  []float64 // gaps of handovers on an operator's mark
+	lost     int       // acknowledged writes lost that a replica had confirmed
+	leased   int       // writes acknowledged of the kind that a lease confirms
+	lostOnes int       // those of them that were lost
 	reads    int
 	readErrs int
 }
@@ -143,6 +147,9 @@
 		return err
 	}
 	defer f.Stop()
+	if err := addLeaseKind(f); err != nil {
+		return err
+	}
 	return p.run(ctx, env, f, runs, r)
 }
 
@@ -166,6 +173,10 @@
 	out.Exactly("writes_failed_with_deadline_left", float64(r.failed), 0)
 	out.Set("writes_acknowledged", float64(r.acked))
 	out.Set("writes_unknown", float64(r.unknown))
+	out.Exactly("writes_lost_confirm_replica", float64(r.lost), 0)
+	out.Set("writes_acknowledged_confirm_any", float64(r.leased))
+	out.Set("writes_lost_confirm_any", float64(r.lostOnes))
+	out.AtMost("gap_worst_s_planned", percentile(r.planned, 1), maxMedianGapSeconds)
 	out.Exactly("wrong_promotions", float64(r.wrong), 0)
 	out.AtLeast("slow_runs", float64(r.slowRuns), 8)
 	out.AtMost("gap_worst_s_after_store_returns", percentile(r.storeGap, 1), maxStoreGapSeconds)
--- a/tools/measure/failover/outage.go
+++ b/tools/measure/failover/outage.go
@@ -91,16 +91,10 @@
 // startAllWriters writes to every database with a kind that needs a replica's
 // confirmation and with one that a lease suffices for.
 func startAllWriters(ctx context.Context, f *fleet.Fleet) ([]*writers, error) {
-	var all []*writers
-	for _, database := range f.Databases() {
-		e := catalogue.Entry{
-			Name: database + "." + leaseKind, Kind: leaseKind, Owner: "office", Database: database,
-			Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Confirm: catalogue.ConfirmAny, Deadline: 5000,
-		}
-		if _, err := f.Platform.Put(platform.KindCatalogue, e.Name, e); err != nil {
-			return all, err
-		}
+	if err := addLeaseKind(f); err != nil {
+		return nil, err
 	}
+	var all []*writers
 	for _, database := range f.Databases() {
 		for _, kind := range []string{"", leaseKind} {
 			w := startWriters(ctx, f.Proxies, database, kind)
@@ -114,6 +108,20 @@
 	return all, nil
 }
 
+// addLeaseKind adds a kind of write to every database that a lease confirms.
+func addLeaseKind(f *fleet.Fleet) error {
+	for _, database := range f.Databases() {
+		e := catalogue.Entry{
+			Name: database + "." + leaseKind, Kind: leaseKind, Owner: "office", Database: database,
+			Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Confirm: catalogue.ConfirmAny, Deadline: 5000,
+		}
+		if _, err := f.Platform.Put(platform.KindCatalogue, e.Name, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func stopAll(all []*writers) {
 	for _, w := range all {
 		w.stop()
--- a/tools/measure/failover/writers.go
+++ b/tools/measure/failover/writers.go
@@ -18,7 +18,7 @@
 // Pace of the writers. Writes arrive at a fixed rate, whether or not earlier
 // ones have been answered, as those of independent callers do.
 const (
-	arrivalInterval = 20 * time.Millisecond // at each proxy
+	arrivalInterval = 40 * time.Millisecond // of each kind at each proxy
 	maxOutstanding  = 400                   // writes waiting at each proxy
 	writePause      = 5 * time.Millisecond  // between two looks at the writers
 	writeDeadline   = 5 * time.Second       // of the write kinds of both deployments
@@ -34,6 +34,7 @@
 
 	mu      sync.Mutex // guards the fields below
 	acks    []time.Time
+	keys    []string // acknowledged
 	failed  int
 	unknown int
 	reasons map[string]int // failed writes by error
@@ -92,7 +93,7 @@
 	began := time.Now()
 	_, err := conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, 'x')", key)
 	if ctx.Err() == nil {
-		w.note(began, err)
+		w.note(key, began, err)
 	}
 	if conn.IsClosed() {
 		return
@@ -128,12 +129,13 @@
 
 // note counts the outcome of one write. An unknown outcome is not a failure: the
 // write was under way when its server was lost.
-func (w *writers) note(began time.Time, err error) {
+func (w *writers) note(key string, began time.Time, err error) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err == nil {
 		w.acks = append(w.acks, now)
+		w.keys = append(w.keys, key)
 		return
 	}
 	var refused *pgconn.PgError
@@ -173,7 +175,7 @@
 func (w *writers) reset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.acks, w.failed, w.unknown, w.reasons = nil, 0, 0, map[string]int{}
+	w.acks, w.keys, w.failed, w.unknown, w.reasons = nil, nil, 0, 0, map[string]int{}
 }
 
 // since counts the acknowledgements after a time.
