--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -43,8 +41,8 @@
 With --metrics it prints the counters and histograms instead.`,
 		Args: exactArgs(),
 		RunE: func(*cobra.Command, []string) error {
-			if _, err := netip.ParseAddrPort(address); err != nil {
-				return &UsageError{Detail: fmt.Sprintf("--operator is %q, want an IP number and port", address)}
+			if err := checkOperator(address); err != nil {
+				return err
 			}
 			path := operator.PathDump
 			if vars {
@@ -60,15 +58,18 @@
 
 // copyFrom prints the answer of an operator address.
 func (e *env) copyFrom(address, path string) error {
-	client := http.Client{Timeout: operatorTimeout}
-	resp, err := client.Get("http://" + address + path)
+	body, err := fetch(address, path)
 	if err != nil {
-		return &OperatorError{Address: address, Cause: err}
+		return err
 	}
-	defer func() { _ = resp.Body.Close() }() // only read from
-	if resp.StatusCode != http.StatusOK {
-		return &OperatorError{Address: address, Status: resp.StatusCode}
-	}
-	_, err = io.Copy(e.out, resp.Body)
+	_, err = e.out.Write(body)
 	return err
 }
+
+// checkOperator checks the form of an operator address.
+func checkOperator(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &UsageError{Detail: fmt.Sprintf("--operator is %q, want an IP number and port", address)}
+	}
+	return nil
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,14 +13,23 @@
 
 func newStatus(e *env) *cobra.Command {
 	var c client
+	var address string
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show the fleet: proxies, versions in force, primaries and promotions",
 		Long: `Shows, from the platform, each data centre's live proxies with the version in
 force, and each database group with its primary, term and promotion in progress.
-Counters of each kind of work are at a proxy's operator address: see dump --metrics.`,
+With --operator it shows, from one proxy, each kind of work on the servers that the
+proxy is home of: offered, admitted, refused by cause, the queue, latencies, and the
+share of the used slot time against the floor.`,
 		Args: exactArgs(),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if address != "" {
+				if err := checkOperator(address); err != nil {
+					return err
+				}
+				return e.printKinds(address)
+			}
 			return c.with(cmd, func(ctx context.Context, o *operate.Operator) error {
 				status, err := o.Status(ctx)
 				if err != nil {
@@ -31,6 +40,7 @@
 		},
 	}
 	c.addFlags(cmd)
+	cmd.Flags().StringVar(&address, "operator", "", "operator address of a proxy, IP:PORT: show its kinds of work")
 	return cmd
 }
 
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,156 @@
+package proxy_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/onsi/gomega"
+
+	"egretroad/internal/config"
+	"egretroad/internal/demo"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/proxy"
+	"egretroad/internal/standin/deployment"
+)
+
+const key = "fleet-key-of-the-test"
+
+// certificate writes a self-signed certificate for loopback and its key.
+func certificate(t *testing.T) config.TLS {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "egretroad"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, IsCA: true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	for dc := range 4 {
+		template.IPAddresses = append(template.IPAddresses, net.IPv4(127, 0, byte(dc), 1))
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(private)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	dir := t.TempDir()
+	write := func(name, kind string, raw []byte) string {
+		file := filepath.Join(dir, name)
+		g.Expect(os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600)).To(gomega.Succeed())
+		return file
+	}
+	return config.TLS{CertFile: write("cert.pem", "CERTIFICATE", der), KeyFile: write("key.pem", "EC PRIVATE KEY", keyDER)}
+}
+
+// fleet starts a proxy on each VM of a deployment.
+func fleet(t *testing.T, edit func(*config.Settings)) (*deployment.Deployment, []*proxy.Proxy) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	o := deployment.DefaultOptions()
+	o.Scale = 0
+	d, err := deployment.Start(o)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(d.Close)
+	var proxies []*proxy.Proxy
+	for _, vm := range d.VMs {
+		s := demo.Settings(d, vm, key)
+		edit(&s)
+		p, err := proxy.New(s, eventlog.Discard())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(p.Start(context.Background())).To(gomega.Succeed())
+		t.Cleanup(func() { _ = p.Stop(context.Background()) })
+		proxies = append(proxies, p)
+	}
+	for _, p := range proxies {
+		g.Eventually(p.Ready, "20s").Should(gomega.BeTrue())
+	}
+	return d, proxies
+}
+
+func dsn(p *proxy.Proxy, options string) string {
+	host, port, _ := net.SplitHostPort(p.CallerAddr())
+	return fmt.Sprintf("host=%s port=%s dbname=orders1 %s", host, port, options)
+}
+
+func TestTLSAndPasswords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	files := certificate(t)
+	peerFiles := files
+	peerFiles.CAFile = files.CertFile
+	_, proxies := fleet(t, func(s *config.Settings) {
+		s.Callers.TLS = files
+		s.Callers.Users = []config.User{{Name: "shop", Password: "secret"}}
+		s.Peers.TLS = peerFiles
+	})
+	ctx := context.Background()
+	for _, p := range proxies {
+		conn, err := pgx.Connect(ctx, dsn(p, "user=shop password=secret sslmode=require"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ('a', 'b') ON CONFLICT (key) DO UPDATE SET value = 'b'")
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "the write crosses the peers' TLS from two of three proxies")
+		g.Expect(conn.Close(ctx)).To(gomega.Succeed())
+	}
+	_, err := pgx.Connect(ctx, dsn(proxies[0], "user=shop password=wrong sslmode=require"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("28P01")))
+	_, err = pgx.Connect(ctx, dsn(proxies[0], "user=stranger password=secret sslmode=require"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("28P01")))
+}
+
+func TestStartErrorsAreTyped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, _ := fleet(t, func(*config.Settings) {})
+	s := demo.Settings(d, d.VMs[0], key)
+	_, err := proxy.New(s, eventlog.Discard())
+	var listen *proxy.ListenError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(listen), "the address is taken")
+	s.Callers.Listen, s.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Callers.TLS = config.TLS{CertFile: "/none", KeyFile: "/none"}
+	_, err = proxy.New(s, eventlog.Discard())
+	var tlsErr *proxy.TLSError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(tlsErr))
+	_, err = proxy.New(config.Settings{}, eventlog.Discard())
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("setting vm.id")))
+}
+
+func TestOperatorAddress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, proxies := fleet(t, func(*config.Settings) {})
+	for path, want := range map[string]int{"/ready": 200, "/dump": 200, "/debug/vars": 200, "/debug/pprof/": 200, "/nothing": 404} {
+		resp, err := http.Get("http://" + proxies[0].OperatorAddr() + path)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = resp.Body.Close() // only the status counts
+		g.Expect(resp.StatusCode).To(gomega.Equal(want), path)
+	}
+	for _, section := range []string{"vm", "control", "authority", "homes", "gateway"} {
+		g.Expect(proxies[0].Dump()).To(gomega.HaveKey(section))
+	}
+}
+
+// A proxy that starts while the platform is down takes a peer's copy.
+func TestStartWithThePlatformDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, proxies := fleet(t, func(*config.Settings) {})
+	g.Expect(d.Fault("platform-down")).To(gomega.Succeed())
+	proxies[1].Kill()
+	again, err := proxy.New(demo.Settings(d, d.VMs[1], key), eventlog.Discard())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again.Start(context.Background())).To(gomega.Succeed())
+	defer func() { _ = again.Stop(context.Background()) }()
+	g.Eventually(again.Ready, "20s").Should(gomega.BeTrue())
+	g.Expect(again.Snapshot().Revision).To(gomega.Equal(proxies[0].Snapshot().Revision))
+}
