Compare gateway sessions with an oracle

Cause: random statements over both protocols, with lanes lost at random, showed that a failed transaction accepted BEGIN, that a refused statement hid the aborted state, and that ROLLBACK over a lost lane was answered with an error. Change: an aborted transaction refuses all but its end; ROLLBACK of a lost transaction succeeds.

--- a/internal/gateway/extended.go
+++ b/internal/gateway/extended.go
@@ -33,12 +33,12 @@
 		return &callerError{Code: codeDuplicate, Message: fmt.Sprintf("prepared statement %.80q already exists", m.Name)}
 	}
 	p := newPrepared(m.Query, m.ParameterOIDs)
-	if p.Kind == kindRefused {
-		return errUnsupported(p.Refuse)
-	}
 	if err := s.checkAborted(p.statement); err != nil {
 		return err
 	}
+	if p.Kind == kindRefused {
+		return errUnsupported(p.Refuse)
+	}
 	if err := s.keepStatement(m.Name, p); err != nil {
 		return err
 	}
--- a/internal/gateway/fakehome_test.go
+++ b/internal/gateway/fakehome_test.go
@@ -94,6 +94,7 @@
 func (l *fakeLane) Close() {
 	if !l.ended {
 		l.ended = true
+		l.rollback()
 		l.home.live.Add(-1)
 	}
 }
@@ -134,6 +135,9 @@
 	if b.Flush {
 		r.TxStatus = 0
 	}
+	if r.TxStatus == txIdle {
+		defer l.Close()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if l.status == txIdle && l.wrote {
@@ -146,9 +150,6 @@
 		role = topology.RolePrimary
 	}
 	r.Status = topology.ServerStatus{Server: l.request.Server, Term: h.term, Role: role, Position: h.position, Lag: h.lag[l.request.Server], Reachable: true}
-	if r.TxStatus == txIdle {
-		l.Close()
-	}
 	return r, nil
 }
 
@@ -189,6 +190,11 @@
 			a.execute(part, nil, true)
 		}
 	case *pgproto3.Parse:
+		if k := classify(m.Query).Kind; l.status == txFailed && k != kindCommit && k != kindRollback {
+			a.fail("25P02", "current transaction is aborted")
+			l.skip = true
+			return
+		}
 		if strings.Contains(m.Query, "bogus") {
 			a.fail("42601", "syntax error")
 			l.skip = true
@@ -266,7 +272,7 @@
 		l.status, l.undo = txOpen, map[string]string{}
 		a.tag("BEGIN")
 	case st.Kind == kindCommit && l.status == txOpen:
-		l.status = txIdle
+		l.status, l.undo = txIdle, nil
 		a.tag("COMMIT")
 	case st.Kind == kindRollback || st.Kind == kindCommit:
 		l.rollback()
@@ -315,5 +321,5 @@
 	for key := range l.undo {
 		delete(l.home.rows, key)
 	}
-	l.status, l.wrote = txIdle, false
+	l.status, l.wrote, l.undo = txIdle, false, nil
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/gomega"
 
 	"egretroad/internal/catalogue"
@@ -22,7 +24,7 @@
 // fixture is a gateway on loopback in front of a fake home.
 type fixture struct {
 	*GomegaWithT
-	t       *testing.T
+	t       testing.TB
 	home    *fakeHome
 	gateway *Gateway
 	source  *topology.Publisher
@@ -49,7 +51,7 @@
 }
 
 // newQuietFixture returns a fixture without a listener.
-func newQuietFixture(t *testing.T, change ...func(*Options)) *fixture {
+func newQuietFixture(t testing.TB, change ...func(*Options)) *fixture {
 	f := &fixture{GomegaWithT: NewWithT(t), t: t, home: newFakeHome(), source: topology.NewPublisher(testSnapshot())}
 	t.Cleanup(func() {
 		if n := f.gateway.counters.panics.Value(); n != 0 {
@@ -67,7 +69,7 @@
 	return f
 }
 
-func newFixture(t *testing.T, change ...func(*Options)) *fixture {
+func newFixture(t testing.TB, change ...func(*Options)) *fixture {
 	f := newQuietFixture(t, change...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Expect(err).NotTo(HaveOccurred())
@@ -101,3 +103,48 @@
 	f.t.Cleanup(cancel)
 	return ctx
 }
+
+// rawCaller speaks the protocol without a client library.
+type rawCaller struct {
+	f        *fixture
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+}
+
+func (f *fixture) dialRaw() *rawCaller {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(f.port)))
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(conn.SetDeadline(time.Now().Add(time.Minute))).To(Succeed())
+	c := &rawCaller{f: f, conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
+	_, err = conn.Write(shopStartup)
+	f.Expect(err).NotTo(HaveOccurred())
+	c.untilReady()
+	return c
+}
+
+// query runs a simple query to its end.
+func (c *rawCaller) query(sql string) []string {
+	c.frontend.Send(&pgproto3.Query{String: sql})
+	c.f.Expect(c.frontend.Flush()).To(Succeed())
+	return c.untilReady()
+}
+
+// untilReady returns the tags and SQLSTATEs up to ReadyForQuery, and the state.
+func (c *rawCaller) untilReady() []string {
+	var seen []string
+	for {
+		m, err := c.frontend.Receive()
+		c.f.Expect(err).NotTo(HaveOccurred())
+		switch m := m.(type) {
+		case *pgproto3.CommandComplete:
+			seen = append(seen, string(m.CommandTag))
+		case *pgproto3.ErrorResponse:
+			seen = append(seen, m.Code)
+		case *pgproto3.DataRow:
+			seen = append(seen, string(m.Values[0]))
+		case *pgproto3.ReadyForQuery:
+			return append(seen, string(m.TxStatus))
+		}
+	}
+}
--- a/internal/gateway/local.go
+++ b/internal/gateway/local.go
@@ -114,7 +114,17 @@
 		return err
 	}
 	s.batch.executed = append(s.batch.executed, st)
-	return s.runCollected(runQuery)
+	rolledBack := st.Kind == kindRollback || s.tx == txFailed
+	pending := s.wire.pending()
+	err := s.runCollected(runQuery)
+	if err == nil || !rolledBack || s.lane != nil {
+		return err
+	}
+	// The lane is lost, and with it the transaction: that is what the caller asked for.
+	s.wire.truncate(min(pending, s.wire.pending()))
+	s.finishTransaction(false)
+	s.complete("ROLLBACK")
+	return nil
 }
 
 // finishTransaction returns the session to the idle state.
@@ -131,9 +141,13 @@
 	s.forgetPortals()
 }
 
-// checkAborted refuses statements in a failed transaction that no server knows of.
+// checkAborted refuses statements in a failed transaction. Those for a server
+// are left to it while it has the transaction.
 func (s *session) checkAborted(st statement) error {
-	if s.tx != txFailed || s.lane != nil || st.Kind == kindCommit || st.Kind == kindRollback {
+	switch {
+	case s.tx != txFailed, st.Kind == kindCommit, st.Kind == kindRollback, st.Kind == kindEmpty:
+		return nil
+	case s.lane != nil && !st.local() && st.Kind != kindRefused:
 		return nil
 	}
 	return errAborted
--- /dev/null
+++ b/internal/gateway/oracle_test.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"egretroad/internal/outcome"
+	"egretroad/internal/txn"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// oracle is a plain model of one caller's session.
+type oracle struct {
+	state     byte
+	rows      map[string]string
+	before    map[string]string // rows at BEGIN
+	work      string
+	workStart string
+	lane      bool // a server has the transaction
+	broken    bool // the next batch that reaches a server is lost
+}
+
+// answer returns what a caller sees for a statement, without the state.
+func (o *oracle) answer(st step) []string {
+	if o.state == txFailed && st.kind != "commit" && st.kind != "rollback" && st.kind != "empty" {
+		if o.lane && o.broken && st.forServer() {
+			o.broken, o.lane = false, false
+			return []string{outcome.CodeNotRun}
+		}
+		return []string{"25P02"}
+	}
+	switch st.kind {
+	case "empty":
+		return nil
+	case "begin":
+		if o.state == txIdle {
+			o.state, o.lane = txOpen, false
+			o.before, o.workStart = maps.Clone(o.rows), o.work
+		}
+		return []string{"BEGIN"}
+	case "commit":
+		return o.end(o.state != txFailed)
+	case "rollback":
+		return o.end(false)
+	case "work":
+		o.work = st.value
+		return []string{"SET"}
+	case "nonsense":
+		return o.fail("22023")
+	case "show":
+		return []string{o.work, "SHOW"}
+	case "copy":
+		return o.fail("0A000")
+	}
+	return o.onServer(st)
+}
+
+func (o *oracle) end(commit bool) []string {
+	lost := o.lane && o.broken
+	if lost {
+		o.broken = false
+	}
+	o.lane = false
+	switch {
+	case o.state == txIdle && commit:
+		return []string{"COMMIT"}
+	case o.state == txIdle:
+		return []string{"ROLLBACK"}
+	case lost && commit:
+		o.state = txFailed
+		return []string{outcome.CodeNotRun}
+	case !commit:
+		o.rows, o.work, o.state = o.before, o.workStart, txIdle
+		return []string{"ROLLBACK"}
+	}
+	o.state = txIdle
+	return []string{"COMMIT"}
+}
+
+func (o *oracle) onServer(st step) []string {
+	if o.broken {
+		o.broken = false
+		if o.lane {
+			return o.fail(outcome.CodeNotRun)
+		}
+		// Nothing of the transaction has run yet: it is sent again.
+	}
+	answer, failed := o.execute(st)
+	o.lane = o.state != txIdle
+	if failed && o.state == txOpen {
+		o.state = txFailed
+	}
+	return answer
+}
+
+func (o *oracle) execute(st step) (answer []string, failed bool) {
+	switch st.kind {
+	case "insert":
+		if _, exists := o.rows[st.key]; exists {
+			return []string{"23505"}, true
+		}
+		o.rows[st.key] = st.value
+		return []string{"INSERT 0 1"}, false
+	case "select":
+		if v, ok := o.rows[st.key]; ok {
+			return []string{v, "SELECT 1"}, false
+		}
+		return []string{"SELECT 0"}, false
+	}
+	return []string{"42601"}, true
+}
+
+// fail is an error after which no server has the transaction.
+func (o *oracle) fail(code string) []string {
+	o.lane = false
+	if o.state == txOpen {
+		o.state = txFailed
+	}
+	return []string{code}
+}
+
+// step is one statement of a caller.
+type step struct{ kind, key, value string }
+
+func (st step) forServer() bool {
+	return st.kind == "insert" || st.kind == "select" || st.kind == "bogus"
+}
+
+func (st step) sql() string {
+	switch st.kind {
+	case "empty":
+		return " -- nothing"
+	case "begin", "commit", "rollback":
+		return st.kind
+	case "work":
+		return "SET egretroad.work = '" + st.value + "'"
+	case "nonsense":
+		return "SET egretroad.work TO nonsense"
+	case "show":
+		return "SHOW egretroad.work"
+	case "copy":
+		return "COPY kv TO STDOUT"
+	case "insert":
+		return fmt.Sprintf("INSERT INTO kv (key, value) VALUES ('%s', '%s')", st.key, st.value)
+	case "select":
+		return "SELECT value FROM kv WHERE key = '" + st.key + "'"
+	}
+	return "bogus"
+}
+
+var stepKinds = []string{"empty", "begin", "begin", "commit", "rollback", "work", "nonsense", "show", "copy", "insert", "insert", "select", "bogus"}
+
+func drawStep(t *rapid.T) step {
+	st := step{kind: rapid.SampledFrom(stepKinds).Draw(t, "kind")}
+	switch st.kind {
+	case "work":
+		st.value = rapid.SampledFrom([]string{"orders", "quick"}).Draw(t, "work")
+	case "insert", "select":
+		st.key = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+		st.value = "v" + st.key
+	}
+	return st
+}
+
+// extended runs a statement by Parse, Bind and Execute.
+func (c *rawCaller) extended(sql, name string) []string {
+	c.frontend.Send(&pgproto3.Parse{Name: name, Query: sql})
+	c.frontend.Send(&pgproto3.Bind{PreparedStatement: name})
+	c.frontend.Send(&pgproto3.Execute{})
+	if name != "" {
+		c.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: name})
+	}
+	c.frontend.Send(&pgproto3.Sync{})
+	c.f.Expect(c.frontend.Flush()).To(Succeed())
+	return c.untilReady()
+}
+
+// TestSessionsAgainstAnOracle runs random statements by both protocols, with
+// connections lost at random, and compares every answer with the model.
+func TestSessionsAgainstAnOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newQuietFixture(t)
+		caller, served := socketPair(f)
+		defer caller.Close()
+		go f.gateway.serveConn(served)
+		c := &rawCaller{f: f, conn: caller, frontend: pgproto3.NewFrontend(caller, caller)}
+		_, err := caller.Write(shopStartup)
+		f.Expect(err).NotTo(HaveOccurred())
+		c.untilReady()
+		model := &oracle{state: txIdle, rows: map[string]string{}, work: "orders"}
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			st := drawStep(rt)
+			if rapid.IntRange(0, 9).Draw(rt, "break") == 0 {
+				f.home.breakNext(model)
+			}
+			way := rapid.SampledFrom([]string{"simple", "unnamed", "named"}).Draw(rt, "protocol")
+			var got []string
+			switch way {
+			case "simple":
+				got = c.query(st.sql())
+			case "unnamed":
+				got = c.extended(st.sql(), "")
+			default:
+				got = c.extended(st.sql(), "s1")
+			}
+			want := append(model.answer(st), string(model.state))
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				rt.Fatalf("%s by %s: got %v, want %v", st.sql(), way, got, want)
+			}
+		}
+	})
+}
+
+// breakNext loses the next batch that reaches a server, before it has run.
+func (h *fakeHome) breakNext(model *oracle) {
+	model.broken = true
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runError = func(txn.Request, txn.Batch) error {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.runError = nil
+		return &outcome.NotRunError{Reason: outcome.ReasonConnLost, Detail: "cut"}
+	}
+}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -38,6 +38,9 @@
 	for _, part := range parts {
 		st := classify(part)
 		if st.Kind == kindRefused {
+			if err := s.checkAborted(st); err != nil {
+				return err
+			}
 			return errUnsupported(st.Refuse)
 		}
 		statements = append(statements, st)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -199,13 +199,12 @@
 	s.batch.reset()
 	c := s.gateway.describe(err, s.entry)
 	s.wire.send(c.response())
-	s.closeLane()
-	switch s.tx {
-	case txIdle:
+	if s.tx != txFailed {
+		s.closeLane()
 		s.begin = ""
-	case txOpen:
+	}
+	if s.tx == txOpen {
 		s.tx = txFailed
-		s.begin = ""
 	}
 }
 
