--- /dev/null
+++ b/tools/measure/drain/drain.go
@@ -0,0 +1,131 @@
+// Package drain measures a rolling restart: many callers keep requests in
+// progress while each proxy in turn is asked to stop and is started again. A
+// caller that is told to reconnect does so and sends its request again.
+package drain
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"egretroad/internal/standin/deployment"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+// Sizes of the measurement.
+const (
+	proxies     = 9
+	callers     = 500
+	stopTimeout = 30 * time.Second
+	settleTime  = time.Second // load before the first restart and after the last
+)
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed, o.Scale = proxies, env.Seed, 1
+	if env.Size > 0 {
+		o.Proxies = env.Size
+	}
+	if env.Deployment != "" {
+		o.Name = env.Deployment
+	}
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	l := newLoad(f, env.Seed)
+	l.start(ctx)
+	env.Logf("%d callers on %d proxies", callers, len(f.Proxies))
+	slowest, err := restartAll(ctx, env, f, l)
+	l.stop()
+	if err != nil {
+		return nil, err
+	}
+	r := report.New("drain", env.Seed)
+	r.Set("slowest_drain_s", slowest.Seconds())
+	l.report(r)
+	return r, l.checkWrites(ctx, r)
+}
+
+// restartAll restarts each proxy under load and returns the longest drain.
+func restartAll(ctx context.Context, env *report.Env, f *fleet.Fleet, l *load) (time.Duration, error) {
+	var slowest time.Duration
+	pause(ctx, settleTime)
+	for _, p := range f.Proxies {
+		began := time.Now()
+		stopping, cancel := context.WithTimeout(ctx, stopTimeout)
+		err := p.Terminate(stopping)
+		cancel()
+		if err != nil {
+			return 0, fmt.Errorf("stop of %s: %w", p.VM.ID, err)
+		}
+		drained := time.Since(began)
+		slowest = max(slowest, drained)
+		if err := p.Start(ctx); err != nil {
+			return 0, err
+		}
+		env.Logf("%s drained in %d ms and restarted; %s", p.VM.ID, drained.Milliseconds(), l.summary())
+	}
+	pause(ctx, settleTime)
+	return slowest, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// checkWrites compares the rows that callers were told of with those in the databases.
+func (l *load) checkWrites(ctx context.Context, r *report.Report) error {
+	lost, extra := 0, 0
+	for _, database := range l.fleet.Databases() {
+		stored, err := l.keys(ctx, database)
+		if err != nil {
+			return err
+		}
+		for _, key := range l.acknowledged(database) {
+			if !stored[key] {
+				lost++
+			}
+			delete(stored, key)
+		}
+		for key := range stored {
+			if l.owns(key) {
+				extra++
+			}
+		}
+	}
+	r.Exactly("acknowledged_writes_lost", float64(lost), 0)
+	r.Exactly("refused_writes_stored", float64(extra), 0)
+	return nil
+}
+
+// keys reads the keys of a database through a proxy.
+func (l *load) keys(ctx context.Context, database string) (map[string]bool, error) {
+	conn, err := pgx.Connect(ctx, l.fleet.Proxies[0].DSN(database, ""))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close(ctx) }() // the read's error counts
+	rows, err := conn.Query(ctx, "SELECT key, value FROM kv ORDER BY key")
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	stored := map[string]bool{}
+	for rows.Next() {
+		var key, value string
+		if err := rows.Scan(&key, &value); err != nil {
+			return nil, err
+		}
+		stored[key] = true
+	}
+	return stored, rows.Err()
+}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/report"
@@ -26,7 +27,8 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"path": path.Run,
+	"drain": drain.Run,
+	"path":  path.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
