Count a stall once in the expected wait

The time since the last grant was multiplied by the queue's length. Change: the rate of grants counts after eight of them, and the time since the last one is added once. The existing test that a flood is refused early passes unchanged.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -15,6 +15,7 @@
 	gap       float64 // seconds between grants while the class is backlogged
 	lastGrant time.Duration
 	busy      bool // backlogged since lastGrant or since the queue began
+	grants    int  // since the queue began
 }
 
 func (s *serviceTime) ended(seconds float64) {
@@ -27,31 +28,45 @@
 		s.busy = true
 		s.lastGrant = now
 		s.gap = 0
+		s.grants = 0
 	}
 }
 
+// warmupGrants is the number of grants before their rate says something. The
+// first ones hold the opening of connections, as after a change of home.
+const warmupGrants = 8
+
 // granted notes a grant of waiting work.
 func (s *serviceTime) granted(now time.Duration, stillWaiting bool) {
 	sample := (now - s.lastGrant).Seconds()
-	if s.gap == 0 {
-		s.gap = sample
-	} else {
-		s.gap += (sample - s.gap) * smoothing
+	if s.grants > 0 {
+		weight := math.Max(1/float64(s.grants), smoothing)
+		s.gap += (sample - s.gap) * weight
 	}
+	s.grants++
 	s.lastGrant = now
 	s.busy = stillWaiting
 }
 
 // interval returns the expected time between grants, in seconds.
-func (s *serviceTime) interval(now time.Duration, slots int) float64 {
+func (s *serviceTime) interval(slots int) float64 {
 	if slots < 1 {
 		slots = 1
 	}
 	ideal := s.mean / float64(slots)
-	if !s.busy {
+	if !s.busy || s.grants < warmupGrants {
 		return ideal
 	}
-	return math.Max(ideal, math.Max(s.gap, (now-s.lastGrant).Seconds()))
+	return math.Max(ideal, s.gap)
+}
+
+// stall returns how much longer than expected the present grant takes, in
+// seconds. It delays all waiting work once.
+func (s *serviceTime) stall(now time.Duration, interval float64) float64 {
+	if !s.busy {
+		return 0
+	}
+	return math.Max(0, (now-s.lastGrant).Seconds()-interval)
 }
 
 // expectedWait estimates how long new work of the entry would wait. ahead is the
@@ -62,8 +77,8 @@
 	if share := (e.waiting + 1) * max(1, c.eligible.len()); share < ahead {
 		ahead = share
 	}
-	interval := c.service.interval(now, m.size.slotsFor(c.rank))
-	return seconds(float64(ahead+1) * interval), ahead
+	interval := c.service.interval(m.size.slotsFor(c.rank))
+	return seconds(float64(ahead+1)*interval + c.service.stall(now, interval)), ahead
 }
 
 // codel is the controlled-delay state of one class's queue.
