--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -18,6 +18,7 @@
 
 	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/flood"
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/report"
 )
@@ -28,6 +29,7 @@
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
 	"drain": drain.Run,
+	"flood": flood.Run,
 	"path":  path.Run,
 }
 
