--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -19,7 +19,9 @@
 	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
+	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
+	"egretroad/tools/measure/reads"
 	"egretroad/tools/measure/report"
 )
 
@@ -28,9 +30,11 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"drain": drain.Run,
-	"flood": flood.Run,
-	"path":  path.Run,
+	"drain":    drain.Run,
+	"flood":    flood.Run,
+	"outcomes": outcomes.Run,
+	"path":     path.Run,
+	"reads":    reads.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
