--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
 	"egretroad/tools/measure/outcomes"
@@ -29,6 +30,7 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
+	"drain":    drain.Run,
 	"flood":    flood.Run,
 	"outcomes": outcomes.Run,
 	"path":     path.Run,
