Report a drain whose time ends with requests in progress

Cause: serve returned no error when the gateway's drain ran out of time. Change: the cut is kept and reported as DrainCutError; tests of a drain that ends in time, one that does not, and a second signal. Conclusion: operators can tell a clean stop from a cut one.

--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -70,6 +70,9 @@
 	defer cancel()
 	err := p.parts.Gateway.Drain(ctx)
 	p.parts.Gateway.Close()
+	if err != nil && ignoreEnd(err) == nil {
+		p.cut.Store(true)
+	}
 	return ignoreEnd(err)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 	settings config.Settings
 	serving  atomic.Bool
 	killed   atomic.Bool
+	cut      atomic.Bool // the drain's time ended with requests in progress
 }
 
 // parts are the components that the lifecycle starts and stops.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,11 +9,14 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,3 +157,77 @@
 	g.Eventually(again.Ready, "20s").Should(gomega.BeTrue())
 	g.Expect(again.Snapshot().Revision).To(gomega.Equal(proxies[0].Snapshot().Revision))
 }
+
+// serveOne runs a proxy by Serve with the given drain timeout and starts a
+// statement that outlasts it. stop ends Serve's context.
+func serveOne(t *testing.T, drain time.Duration) (stop context.CancelFunc, result <-chan error) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	o := deployment.DefaultOptions()
+	o.Scale, o.Proxies, o.Record = 0, 1, true
+	d, err := deployment.Start(o)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(d.Close)
+	s := demo.Settings(d, d.VMs[0], key)
+	s.Shutdown.DrainTimeout = config.Duration(drain)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	done := make(chan error, 1)
+	go func() { done <- proxy.Serve(ctx, s, eventlog.Discard(), io.Discard) }()
+	running := make(chan error, 1)
+	g.Eventually(func() error {
+		conn, err := pgx.Connect(context.Background(), "host=127.0.0.1 port="+port(s.Callers.Listen)+" dbname=orders1 user=x sslmode=disable egretroad.work=stock")
+		if err != nil {
+			return err
+		}
+		if _, err := conn.Exec(context.Background(), "SELECT value FROM kv WHERE key = 'x'"); err != nil {
+			return err
+		}
+		go func() {
+			_, err := conn.Exec(context.Background(), "SELECT pg_sleep(1.5)")
+			running <- err
+		}()
+		return nil
+	}, "20s").Should(gomega.Succeed())
+	g.Eventually(func() int { return d.Groups["orders1"].Seen("pg_sleep") }, "20s").Should(gomega.BeNumerically(">", 0))
+	return stop, done
+}
+
+func port(addr string) string {
+	_, p, _ := net.SplitHostPort(addr)
+	return p
+}
+
+func TestDrainThatRunsOutOfTimeIsReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stop, result := serveOne(t, 50*time.Millisecond)
+	stop()
+	var cut *proxy.DrainCutError
+	g.Eventually(result, "30s").Should(gomega.Receive(gomega.BeAssignableToTypeOf(cut)))
+}
+
+func TestDrainThatFinishesIsNoError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stop, result := serveOne(t, time.Minute)
+	stop()
+	g.Eventually(result, "30s").Should(gomega.Receive(gomega.BeNil()))
+}
+
+func TestSecondSignalCutsTheDrain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	guard := make(chan os.Signal, 100)
+	signal.Notify(guard, syscall.SIGTERM)
+	defer signal.Stop(guard)
+	stop, result := serveOne(t, time.Minute)
+	stop()
+	var cut *proxy.DrainCutError
+	g.Eventually(func() error {
+		g.Expect(syscall.Kill(os.Getpid(), syscall.SIGTERM)).To(gomega.Succeed())
+		select {
+		case err := <-result:
+			return err
+		default:
+			return nil
+		}
+	}, "30s").Should(gomega.BeAssignableToTypeOf(cut))
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -50,8 +50,9 @@
 	go func() { done <- p.Stop(ctx) }()
 	select {
 	case err := <-done:
-		log.Info("stopped", "cut", ctx.Err() != nil)
-		if ctx.Err() != nil {
+		cut := p.cut.Load() || ctx.Err() != nil
+		log.Info("stopped", "cut", cut)
+		if cut {
 			return &DrainCutError{Cause: "shutdown.drainTimeout ended"}
 		}
 		return err
