Measure catalogue changes, the cost of control, and replaced proxies

Change: measure catalogue, control and restart. control fits the fleet's totals to a part per node and a part per server or data centre; a fit of the means per node gave negative figures at 510.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -90,7 +90,7 @@
 	if !m.members.merge(r, "told by "+from, m.now) {
 		return false
 	}
-	m.log("member_changed", "vm", r.ID, "status", r.Status, "incarnation", r.Incarnation, "from", from)
+	m.log("member_changed", "member", r.ID, "status", r.Status, "incarnation", r.Incarnation, "from", from)
 	return true
 }
 
@@ -353,7 +353,7 @@
 	}
 	dead := Record{ID: x.record.ID, Incarnation: x.record.Incarnation, Status: StatusDead}
 	m.members.merge(dead, "silent to its monitors", m.now)
-	m.alarm("member_dead", "vm", dead.ID, "incarnation", dead.Incarnation, "monitors", reporting)
+	m.alarm("member_dead", "member", dead.ID, "incarnation", dead.Incarnation, "monitors", reporting)
 	m.broadcast(x.share())
 }
 
--- /dev/null
+++ b/tools/measure/catalogue/catalogue.go
@@ -0,0 +1,309 @@
+// Package catalogue measures how long catalogue changes take to be in force on
+// every proxy, with restarts, cut watches and a slow platform, and how long a
+// leaving server still gets new work.
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/platform"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/topology"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+const (
+	proxies         = 9
+	plainChanges    = 20
+	restartChanges  = 15
+	cutChanges      = 15
+	slowChanges     = 3
+	slowAnswer      = time.Second
+	forceTimeout    = 15 * time.Second
+	pollInterval    = 10 * time.Millisecond
+	changePause     = 50 * time.Millisecond
+	forceLimitMS    = 2000
+	slowLimitMS     = 5000
+	leavingLimitMS  = 3000
+	leavingObserved = 5 * time.Second
+	watchedEntry    = "measured"
+)
+
+// NotInForceError reports a change that did not come into force.
+type NotInForceError struct {
+	Version uint64
+	VM      string
+}
+
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("version %d is not in force on %s after %s", e.Version, e.VM, forceTimeout)
+}
+
+// run is one measurement in progress.
+type run struct {
+	env        *report.Env
+	fleet      *fleet.Fleet
+	rand       *rand.Rand
+	down       map[string]bool   // proxies being restarted
+	seen       map[string]uint64 // highest version seen in force, by proxy
+	reversions int
+	version    uint64
+}
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed = proxies, env.Seed
+	if env.Deployment != "" {
+		o.Name = env.Deployment
+	}
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	m := &run{
+		env: env, fleet: f, rand: rand.New(rand.NewPCG(env.Seed, 1)),
+		down: map[string]bool{}, seen: map[string]uint64{},
+	}
+	r := report.New("catalogue", env.Seed)
+	return r, m.measure(ctx, r)
+}
+
+func (m *run) measure(ctx context.Context, r *report.Report) error {
+	plain, err := m.changes(ctx, "plain", plainChanges, nil)
+	if err != nil {
+		return err
+	}
+	restarts, err := m.changes(ctx, "two proxies restarting", restartChanges, m.restartTwo)
+	if err != nil {
+		return err
+	}
+	cuts, err := m.changes(ctx, "watches cut", cutChanges, m.cutWatch)
+	if err != nil {
+		return err
+	}
+	m.fleet.Network.Heal()
+	m.fleet.Platform.Slow(slowAnswer)
+	slow, err := m.changes(ctx, "platform 1 s slow", slowChanges, nil)
+	if err != nil {
+		return err
+	}
+	m.fleet.Platform.Slow(0)
+	leaving, err := m.leaving(ctx)
+	if err != nil {
+		return err
+	}
+	r.Set("changes", plainChanges+restartChanges+cutChanges+slowChanges)
+	r.AtMost("worst_plain_ms", plain, forceLimitMS)
+	r.AtMost("worst_restarting_ms", restarts, forceLimitMS)
+	r.AtMost("worst_watches_cut_ms", cuts, forceLimitMS)
+	r.AtMost("worst_slow_platform_ms", slow, slowLimitMS)
+	r.Exactly("reversions", float64(m.reversions), 0)
+	r.AtMost("leaving_last_statement_ms", leaving, leavingLimitMS)
+	return nil
+}
+
+// changes makes n changes and returns the longest time from acceptance by the
+// platform to force on every running proxy, in milliseconds. before runs ahead
+// of each change.
+func (m *run) changes(ctx context.Context, phase string, n int, before func(ctx context.Context, i int) error) (float64, error) {
+	worst := time.Duration(0)
+	for i := range n {
+		if before != nil {
+			if err := before(ctx, i); err != nil {
+				return 0, err
+			}
+		}
+		took, err := m.change(ctx)
+		if err != nil {
+			return 0, err
+		}
+		worst = max(worst, took)
+		time.Sleep(changePause)
+	}
+	m.env.Logf("phase=%q changes=%d worst=%s", phase, n, worst)
+	return float64(worst.Milliseconds()), nil
+}
+
+func (m *run) change(ctx context.Context) (time.Duration, error) {
+	e := catalogue.Entry{
+		Name: watchedEntry, Kind: watchedEntry, Owner: "measure", Database: m.fleet.Databases()[0],
+		Rank: catalogue.RankReports, Access: catalogue.AccessRead,
+		Deadline: 1000, MaxConcurrent: 1 + m.rand.IntN(1000),
+	}
+	accepted := time.Now()
+	object, err := m.fleet.Platform.Put(platform.KindCatalogue, watchedEntry, e)
+	if err != nil {
+		return 0, err
+	}
+	m.version = object.Version
+	return m.inForce(ctx, accepted)
+}
+
+// inForce waits until every running proxy has the newest version in force.
+func (m *run) inForce(ctx context.Context, accepted time.Time) (time.Duration, error) {
+	for {
+		lagging, err := m.lagging(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if lagging == "" {
+			return time.Since(accepted), nil
+		}
+		if time.Since(accepted) > forceTimeout {
+			return 0, &NotInForceError{Version: m.version, VM: lagging}
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// controlDump is the part of a proxy's dump that the measurement reads.
+type controlDump struct {
+	Control struct {
+		Objects []struct {
+			Object  string `json:"object"`
+			InForce uint64 `json:"inForce"`
+		} `json:"objects"`
+	} `json:"control"`
+}
+
+// lagging returns a running proxy without the newest version, or "".
+func (m *run) lagging(ctx context.Context) (string, error) {
+	lagging := ""
+	for _, p := range m.fleet.Proxies {
+		id := p.VM.ID
+		if m.down[id] {
+			continue
+		}
+		var d controlDump
+		if err := p.JSON(ctx, "/dump", &d); err != nil {
+			return "", err
+		}
+		version := uint64(0)
+		for _, o := range d.Control.Objects {
+			if o.Object == platform.KindCatalogue+"/"+watchedEntry {
+				version = o.InForce
+			}
+		}
+		if version < m.seen[id] {
+			m.reversions++
+		}
+		m.seen[id] = version
+		if version < m.version {
+			lagging = id
+		}
+	}
+	return lagging, nil
+}
+
+// restartTwo kills two proxies before a change and starts those of the change
+// before; a restarted proxy counts again once it serves.
+func (m *run) restartTwo(ctx context.Context, i int) error {
+	for id := range m.down {
+		for _, p := range m.fleet.Proxies {
+			if p.VM.ID == id {
+				if err := p.Start(ctx); err != nil {
+					return err
+				}
+			}
+		}
+		delete(m.down, id)
+	}
+	if i == restartChanges-1 {
+		return nil
+	}
+	for range 2 {
+		p := m.fleet.Proxies[m.rand.IntN(proxies)]
+		m.down[p.VM.ID] = true
+		p.Kill()
+	}
+	return nil
+}
+
+// cutWatch cuts one data centre in turn from the platform, or heals.
+func (m *run) cutWatch(_ context.Context, i int) error {
+	m.fleet.Network.Heal()
+	names := m.fleet.DataCentres()
+	if turn := i % (len(names) + 1); turn < len(names) {
+		return m.fleet.Network.CutPlatform(names[turn])
+	}
+	return nil
+}
+
+// leaving marks a replica that serves reads as leaving and returns when it got
+// its last statement, in milliseconds after the mark.
+func (m *run) leaving(ctx context.Context) (float64, error) {
+	database := m.fleet.Databases()[0]
+	group, err := m.group(database)
+	if err != nil {
+		return 0, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	readers := startReaders(ctx, m.fleet, database)
+	defer readers.Wait()
+	defer stop()
+	replica, err := m.busiestReplica(group)
+	if err != nil {
+		return 0, err
+	}
+	for i := range group.Servers {
+		if group.Servers[i].ID == replica {
+			group.Servers[i].State = topology.ServerLeaving
+		}
+	}
+	if _, err := m.fleet.Platform.Put(platform.KindGroup, database, group); err != nil {
+		return 0, err
+	}
+	return float64(m.lastRead(replica).Milliseconds()), nil
+}
+
+func (m *run) group(database string) (*topology.Group, error) {
+	object, found := m.fleet.Platform.Get(platform.KindGroup, database)
+	if !found {
+		return nil, &platform.NotFoundError{Kind: platform.KindGroup, Name: database}
+	}
+	g := &topology.Group{}
+	return g, json.Unmarshal(object.Value, g)
+}
+
+// NoReplicaReadsError reports a database whose replicas serve no reads.
+type NoReplicaReadsError struct{ Database string }
+
+func (e *NoReplicaReadsError) Error() string { return "no replica of " + e.Database + " serves reads" }
+
+// busiestReplica waits until a replica serves reads and returns the busiest.
+func (m *run) busiestReplica(g *topology.Group) (string, error) {
+	time.Sleep(2 * time.Second) // readers connect and replicas become known
+	best, reads := "", int64(0)
+	for _, s := range g.Servers {
+		if n := m.fleet.Server(s.ID).Stats().ReplicaReads; s.ID != g.Primary && n > reads {
+			best, reads = s.ID, n
+		}
+	}
+	if best == "" {
+		return "", &NoReplicaReadsError{Database: g.Database}
+	}
+	m.env.Logf("phase=leaving server=%s reads=%d", best, reads)
+	return best, nil
+}
+
+// lastRead returns how long after its call the server's last read was.
+func (m *run) lastRead(server string) time.Duration {
+	start, last := time.Now(), time.Duration(0)
+	reads := m.fleet.Server(server).Stats().ReplicaReads
+	for time.Since(start) < leavingObserved {
+		if now := m.fleet.Server(server).Stats().ReplicaReads; now != reads {
+			reads, last = now, time.Since(start)
+		}
+		time.Sleep(pollInterval)
+	}
+	return last
+}
--- /dev/null
+++ b/tools/measure/catalogue/readers.go
@@ -0,0 +1,41 @@
+package catalogue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"egretroad/tools/measure/fleet"
+)
+
+const (
+	readersPerProxy = 2
+	readPause       = 5 * time.Millisecond
+	readKind        = "stock"
+)
+
+// startReaders reads from a database through every proxy until ctx ends.
+func startReaders(ctx context.Context, f *fleet.Fleet, database string) *sync.WaitGroup {
+	var readers sync.WaitGroup
+	for _, p := range f.Proxies {
+		for range readersPerProxy {
+			readers.Go(func() { readAll(ctx, p.DSN(database, readKind)) })
+		}
+	}
+	return &readers
+}
+
+func readAll(ctx context.Context, dsn string) {
+	conn, err := pgx.Connect(ctx, dsn)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close(context.Background()) }() // the measurement is over
+	for ctx.Err() == nil {
+		var n int
+		_ = conn.QueryRow(ctx, "SELECT count(*) FROM kv").Scan(&n) // refusals are not measured here
+		time.Sleep(readPause)
+	}
+}
--- /dev/null
+++ b/tools/measure/control/control.go
@@ -0,0 +1,348 @@
+// Package control measures what the control plane costs each node at growing
+// numbers of proxies, idle and with catalogue changes, and extrapolates to the
+// target's size.
+package control
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/platform"
+	"egretroad/internal/standin/deployment"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+const (
+	targetNodes       = 510
+	targetServers     = 790 * 3
+	targetDataCentres = 7
+	targetCPUPercent  = 3.3
+	targetMemoryMB    = 64
+	targetBytes       = 17_000 // a second
+	// A tenth of the store's rates: several hundred writes, two thousand reads.
+	targetReads  = 200
+	targetWrites = 30
+
+	settleTime   = 2 * time.Second
+	window       = 5 * time.Second
+	longWindow   = 12 * time.Second // when one size is measured alone
+	changePeriod = 6 * time.Second  // 10 changes a minute
+)
+
+// defaultSizes are the numbers of proxies that one run covers: at least four in
+// each data centre, so that every VM has all its monitors.
+var defaultSizes = []int{12, 24, 36}
+
+// usage is the mean use of one node, or of the fleet for the store's calls.
+type usage struct {
+	cpuPercent   float64 // of a core
+	memoryMB     float64 // resident
+	bytes        float64 // a second, read and written on all sockets, per node
+	control      float64 // a second, control traffic with peers and the platform, both ways, per node
+	peerBytes    float64 // a second, control frames sent and received, per node
+	messageBytes float64 // a second, control messages sent, per node
+	messages     float64 // a second, sent, per node
+	storeBytes   float64 // a second, to and from the platform, per node
+	reads        float64 // a second, whole fleet, watches included
+	watches      float64 // a second, whole fleet
+	writes       float64 // a second, whole fleet
+}
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	sizes, span := defaultSizes, window
+	if env.Size > 0 {
+		sizes, span = []int{env.Size}, longWindow
+	}
+	r := report.New("control", env.Seed)
+	var busy []usage
+	var servers, dataCentres int
+	for _, n := range sizes {
+		idle, changing, err := measureSize(ctx, env, n, span, func(f *fleet.Fleet) {
+			dataCentres = len(f.DataCentres())
+			servers = 0
+			for _, g := range f.Groups {
+				servers += len(g.Servers())
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		record(r, fmt.Sprintf("n%d_idle_", n), idle)
+		record(r, fmt.Sprintf("n%d_changes_", n), changing)
+		busy = append(busy, changing)
+	}
+	bound(r, fleetSize{sizes: sizes, servers: servers, dataCentres: dataCentres}, busy)
+	return r, nil
+}
+
+func record(r *report.Report, prefix string, u usage) {
+	for _, f := range figures {
+		r.Set(prefix+f.name, f.of(u))
+	}
+}
+
+// figure is one column of usage with its bound at the target's size.
+type figure struct {
+	name  string
+	of    func(usage) float64
+	fleet bool    // of the whole fleet, not of a node
+	limit float64 // 0: none
+}
+
+var figures = []figure{
+	{"cpu_percent", func(u usage) float64 { return u.cpuPercent }, false, targetCPUPercent},
+	{"memory_mb", func(u usage) float64 { return u.memoryMB }, false, targetMemoryMB},
+	{"control_bytes_per_s", func(u usage) float64 { return u.control }, false, targetBytes},
+	{"peer_bytes_per_s", func(u usage) float64 { return u.peerBytes }, false, 0},
+	{"all_socket_bytes_per_s", func(u usage) float64 { return u.bytes }, false, 0},
+	{"message_bytes_per_s", func(u usage) float64 { return u.messageBytes }, false, 0},
+	{"messages_per_s", func(u usage) float64 { return u.messages }, false, 0},
+	{"store_bytes_per_s", func(u usage) float64 { return u.storeBytes }, false, 0},
+	{"store_reads_per_s", func(u usage) float64 { return u.reads }, true, targetReads},
+	{"store_watches_per_s", func(u usage) float64 { return u.watches }, true, 0},
+	{"store_writes_per_s", func(u usage) float64 { return u.writes }, true, targetWrites},
+}
+
+// fleetSize says what was measured.
+type fleetSize struct {
+	sizes       []int // numbers of proxies
+	servers     int
+	dataCentres int
+}
+
+// bound extrapolates to the target's size when several sizes were measured; a
+// run of one size bounds that size.
+func bound(r *report.Report, size fleetSize, measured []usage) {
+	for _, f := range figures {
+		if len(size.sizes) == 1 {
+			if f.limit > 0 {
+				r.AtMost("max_"+f.name, f.of(measured[0]), f.limit)
+			}
+			continue
+		}
+		at := size.extrapolate(r, f, measured)
+		name := fmt.Sprintf("at_%d_%s", targetNodes, f.name)
+		if f.limit > 0 {
+			r.AtMost(name, at, f.limit)
+		} else {
+			r.Set(name, at)
+		}
+	}
+}
+
+// extrapolate fits the fleet's total to a part per node and a fixed part. The
+// fixed part of a node's use grows with the servers, that of the store's calls
+// with the data centres.
+func (s fleetSize) extrapolate(r *report.Report, f figure, measured []usage) float64 {
+	totals := make([]float64, len(measured))
+	for i, u := range measured {
+		totals[i] = f.of(u)
+		if !f.fleet {
+			totals[i] *= float64(s.sizes[i])
+		}
+	}
+	slope, fixed := fit(s.sizes, totals)
+	r.Set("per_node_"+f.name, slope)
+	if f.fleet {
+		perDataCentre := fixed / float64(s.dataCentres)
+		r.Set("per_data_centre_"+f.name, perDataCentre)
+		return slope*targetNodes + perDataCentre*targetDataCentres
+	}
+	perServer := fixed / float64(s.servers)
+	r.Set("per_server_"+f.name, perServer)
+	return slope + perServer*targetServers/targetNodes
+}
+
+// fit returns the least-squares line through the values.
+func fit(sizes []int, values []float64) (slope, base float64) {
+	var n, sx, sy, sxx, sxy float64
+	for i, size := range sizes {
+		x, y := float64(size), values[i]
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return slope, (sy - slope*sx) / n
+}
+
+// measureSize runs n proxies and returns their usage idle and with changes.
+// look is shown the fleet first.
+func measureSize(ctx context.Context, env *report.Env, n int, span time.Duration, look func(*fleet.Fleet)) (idle, changing usage, err error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed = n, env.Seed
+	if env.Deployment != "" {
+		o.Name = env.Deployment
+	}
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	if err != nil {
+		return usage{}, usage{}, err
+	}
+	defer f.Stop()
+	look(f)
+	time.Sleep(settleTime)
+	if idle, err = observe(ctx, f, span, nil); err != nil {
+		return usage{}, usage{}, err
+	}
+	env.Logf("proxies=%d idle=%+v", n, idle)
+	changes := 0
+	changing, err = observe(ctx, f, span, func() error {
+		changes++
+		return change(f, changes)
+	})
+	env.Logf("proxies=%d changes=%d usage=%+v", n, changes, changing)
+	return idle, changing, err
+}
+
+func change(f *fleet.Fleet, i int) error {
+	_, err := f.Platform.Put(platform.KindCatalogue, "measured", catalogue.Entry{
+		Name: "measured", Kind: "measured", Owner: "measure", Database: f.Databases()[0],
+		Rank: catalogue.RankReports, Access: catalogue.AccessRead, Deadline: 1000, MaxConcurrent: i,
+	})
+	return err
+}
+
+// observe returns the use over a span; act, when given, runs at its start and
+// every changePeriod.
+func observe(ctx context.Context, f *fleet.Fleet, span time.Duration, act func() error) (usage, error) {
+	before, err := read(ctx, f)
+	if err != nil {
+		return usage{}, err
+	}
+	start := time.Now()
+	for time.Since(start) < span {
+		if act != nil {
+			if err := act(); err != nil {
+				return usage{}, err
+			}
+		}
+		time.Sleep(min(changePeriod, span-time.Since(start)))
+	}
+	after, err := read(ctx, f)
+	if err != nil {
+		return usage{}, err
+	}
+	return after.since(before), nil
+}
+
+// processUse is the use of processes as the kernel counts it.
+type processUse struct {
+	cpu   time.Duration
+	bytes int64
+}
+
+// counters are the fleet's totals at one moment. Reading the metrics costs the
+// proxies something: early is from before it, late from after it.
+type counters struct {
+	at                                 time.Time
+	nodes                              float64
+	early, late                        processUse
+	resident                           int64
+	messages, messageBytes, peerBytes  int64
+	storeBytes, reads, watches, writes uint64
+}
+
+// variables is the part of a proxy's metrics that the measurement reads.
+type variables struct {
+	Control struct {
+		Messages int64 `json:"messages_sent"`
+		Bytes    int64 `json:"message_bytes_sent"`
+	} `json:"control"`
+	Peer struct {
+		Sent     int64 `json:"control_sent_bytes"`
+		Received int64 `json:"control_received_bytes"`
+	} `json:"peer"`
+	Platform struct {
+		Calls map[platform.Call]platform.CallCount `json:"calls"`
+	} `json:"platform"`
+}
+
+func read(ctx context.Context, f *fleet.Fleet) (counters, error) {
+	c := counters{at: time.Now(), nodes: float64(len(f.Proxies))}
+	for _, p := range f.Proxies {
+		if err := c.add(ctx, p); err != nil {
+			return counters{}, err
+		}
+	}
+	return c, nil
+}
+
+func (c *counters) add(ctx context.Context, p *fleet.Proxy) error {
+	if err := c.addProcess(p, &c.early); err != nil {
+		return err
+	}
+	var v variables
+	if err := p.JSON(ctx, "/debug/vars", &v); err != nil {
+		return err
+	}
+	resident, err := p.ResidentBytes()
+	if err != nil {
+		return err
+	}
+	c.resident += resident
+	c.messages += v.Control.Messages
+	c.messageBytes += v.Control.Bytes
+	c.peerBytes += v.Peer.Sent + v.Peer.Received
+	for call, n := range v.Platform.Calls {
+		c.addCalls(call, n)
+	}
+	return c.addProcess(p, &c.late)
+}
+
+// addProcess adds what the kernel counts for a process.
+func (c *counters) addProcess(p *fleet.Proxy, to *processUse) error {
+	cpu, err := p.CPU()
+	if err != nil {
+		return err
+	}
+	bytes, err := ioBytes(p.Pid())
+	to.cpu += cpu
+	to.bytes += bytes
+	return err
+}
+
+func (c *counters) addCalls(call platform.Call, n platform.CallCount) {
+	c.storeBytes += n.SentBytes + n.ReceivedBytes
+	switch call {
+	case platform.CallPut, platform.CallDelete:
+		c.writes += n.Calls
+	case platform.CallWatch:
+		c.watches += n.Calls
+		c.reads += n.Calls
+	default:
+		c.reads += n.Calls
+	}
+}
+
+// ioBytes returns what a process has read and written in system calls, which is
+// its traffic on sockets, as it uses no files.
+func ioBytes(pid int) (int64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0, err
+	}
+	var in, out int64
+	_, err = fmt.Sscanf(string(raw), "rchar: %d\nwchar: %d", &in, &out)
+	return in + out, err
+}
+
+func (c counters) since(b counters) usage {
+	seconds := c.at.Sub(b.at).Seconds()
+	perNode := func(n float64) float64 { return n / seconds / c.nodes }
+	return usage{
+		cpuPercent:   100 * perNode((c.early.cpu - b.late.cpu).Seconds()),
+		memoryMB:     float64(c.resident) / c.nodes / 1e6,
+		bytes:        perNode(float64(c.early.bytes - b.late.bytes)),
+		messageBytes: perNode(float64(c.messageBytes - b.messageBytes)),
+		control:      perNode(float64(c.peerBytes-b.peerBytes) + float64(c.storeBytes-b.storeBytes)),
+		peerBytes:    perNode(float64(c.peerBytes - b.peerBytes)),
+		messages:     perNode(float64(c.messages - b.messages)),
+		storeBytes:   perNode(float64(c.storeBytes - b.storeBytes)),
+		reads:        float64(c.reads-b.reads) / seconds,
+		watches:      float64(c.watches-b.watches) / seconds,
+		writes:       float64(c.writes-b.writes) / seconds,
+	}
+}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -16,9 +16,12 @@
 
 	"github.com/spf13/cobra"
 
+	"egretroad/tools/measure/catalogue"
+	"egretroad/tools/measure/control"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/report"
+	"egretroad/tools/measure/restart"
 )
 
 // runTimeout bounds one measurement.
@@ -26,7 +29,10 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"path": path.Run,
+	"catalogue": catalogue.Run,
+	"control":   control.Run,
+	"restart":   restart.Run,
+	"path":      path.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
--- /dev/null
+++ b/tools/measure/restart/restart.go
@@ -0,0 +1,248 @@
+// Package restart measures what callers see while every proxy is killed and
+// started again in turn under load.
+package restart
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"egretroad/internal/standin/deployment"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+const (
+	proxies       = 9
+	stopLimitMS   = 2000
+	callersEach   = 2 // per database and kind
+	warmUp        = 2 * time.Second
+	pauseAfter    = 500 * time.Millisecond // between one replacement and the next
+	operationWait = 4 * time.Second        // a caller gives an operation up
+	callerPause   = 5 * time.Millisecond
+)
+
+// kind is one kind of work of the load.
+type kind struct {
+	name  string
+	write bool
+}
+
+// load is the callers and what they saw.
+type load struct {
+	fleet   *fleet.Fleet
+	seed    uint64
+	running []atomic.Bool // by proxy: callers are sent to it
+	serial  atomic.Int64
+
+	mu     sync.Mutex // guards the fields below
+	last   map[string]time.Time
+	gaps   map[string]time.Duration
+	acked  map[string]map[string]bool // keys of acknowledged writes by database
+	done   int
+	failed int
+}
+
+// Run implements report.Func.
+func Run(ctx context.Context, env *report.Env) (*report.Report, error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed = proxies, env.Seed
+	kinds := []kind{{"orders", true}, {"stock", false}, {"grants", false}, {"reports", false}}
+	if env.Deployment == deployment.CabraRonda {
+		o.Name = env.Deployment
+		kinds = []kind{{"tallies", true}, {"routes", false}, {"reports", false}}
+	}
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	l := &load{
+		fleet: f, seed: env.Seed, running: make([]atomic.Bool, proxies),
+		last: map[string]time.Time{}, gaps: map[string]time.Duration{}, acked: map[string]map[string]bool{},
+	}
+	for i := range l.running {
+		l.running[i].Store(true)
+	}
+	return l.measure(ctx, env, kinds)
+}
+
+func (l *load) measure(ctx context.Context, env *report.Env, kinds []kind) (*report.Report, error) {
+	callers, stop := l.start(ctx, kinds)
+	defer callers.Wait()
+	defer stop()
+	time.Sleep(warmUp)
+	l.resetGaps()
+	for i, p := range l.fleet.Proxies {
+		l.running[i].Store(false)
+		p.Kill()
+		if err := p.Start(ctx); err != nil {
+			return nil, err
+		}
+		l.running[i].Store(true)
+		time.Sleep(pauseAfter)
+		env.Logf("replaced=%s", p.VM.ID)
+	}
+	l.closeGaps()
+	stop()
+	callers.Wait()
+	return l.report(env, kinds), nil
+}
+
+func (l *load) report(env *report.Env, kinds []kind) *report.Report {
+	r := report.New("restart", env.Seed)
+	for _, k := range kinds {
+		worst := time.Duration(0)
+		for _, database := range l.fleet.Databases() {
+			worst = max(worst, l.gaps[database+"/"+k.name])
+		}
+		r.AtMost("longest_stop_"+k.name+"_ms", float64(worst.Milliseconds()), stopLimitMS)
+	}
+	acked, lost := l.lost()
+	r.Exactly("lost_acknowledged", float64(lost), 0)
+	r.AtLeast("acknowledged_writes", float64(acked), 1)
+	r.Set("operations", float64(l.done))
+	r.Set("operations_not_done", float64(l.failed))
+	return r
+}
+
+// lost counts the acknowledged writes and those that the primaries lack.
+func (l *load) lost() (acked, lost int) {
+	for database, keys := range l.acked {
+		data := l.fleet.Groups[database].Primary().Data()
+		for key := range keys {
+			acked++
+			if _, present := data[key]; !present {
+				lost++
+			}
+		}
+	}
+	return acked, lost
+}
+
+// start starts the callers.
+func (l *load) start(ctx context.Context, kinds []kind) (*sync.WaitGroup, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	number := uint64(0)
+	for _, database := range l.fleet.Databases() {
+		l.acked[database] = map[string]bool{}
+		for _, k := range kinds {
+			for range callersEach {
+				number++
+				c := &caller{load: l, database: database, kind: k, rand: rand.New(rand.NewPCG(l.seed, number))}
+				callers.Go(func() { c.run(ctx) })
+			}
+		}
+	}
+	return &callers, stop
+}
+
+func (l *load) resetGaps() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for key := range l.last {
+		l.last[key] = now
+	}
+	l.gaps = map[string]time.Duration{}
+}
+
+// closeGaps counts the time since each kind's last success as a gap.
+func (l *load) closeGaps() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, last := range l.last {
+		l.gaps[key] = max(l.gaps[key], time.Since(last))
+	}
+}
+
+func (l *load) succeeded(key string) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last, known := l.last[key]; known {
+		l.gaps[key] = max(l.gaps[key], now.Sub(last))
+	}
+	l.last[key] = now
+	l.done++
+}
+
+// caller repeats one kind of work over any running proxy.
+type caller struct {
+	load     *load
+	database string
+	kind     kind
+	rand     *rand.Rand
+	conn     *pgx.Conn
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !c.once(ctx) {
+			c.load.mu.Lock()
+			c.load.failed++
+			c.load.mu.Unlock()
+			c.drop()
+		}
+		time.Sleep(callerPause)
+	}
+	c.drop()
+}
+
+func (c *caller) drop() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = c.conn.Close(ctx) // the proxy may be gone
+	c.conn = nil
+}
+
+// once does one operation and reports whether it succeeded.
+func (c *caller) once(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, operationWait)
+	defer cancel()
+	if c.conn == nil && !c.connect(ctx) {
+		return false
+	}
+	if !c.operate(ctx) {
+		return false
+	}
+	c.load.succeeded(c.database + "/" + c.kind.name)
+	return true
+}
+
+func (c *caller) connect(ctx context.Context) bool {
+	i := c.rand.IntN(proxies)
+	if !c.load.running[i].Load() {
+		return false
+	}
+	conn, err := pgx.Connect(ctx, c.load.fleet.Proxies[i].DSN(c.database, c.kind.name))
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+func (c *caller) operate(ctx context.Context) bool {
+	if !c.kind.write {
+		var n int
+		return c.conn.QueryRow(ctx, "SELECT count(*) FROM kv").Scan(&n) == nil
+	}
+	key := fmt.Sprintf("restart-%d", c.load.serial.Add(1))
+	if _, err := c.conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", key, "x"); err != nil {
+		return false
+	}
+	c.load.mu.Lock()
+	defer c.load.mu.Unlock()
+	c.load.acked[c.database][key] = true
+	return true
+}
