--- /dev/null
+++ b/internal/e2e/control_test.go
@@ -0,0 +1,204 @@
+package e2e_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/demo"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/operate"
+	"egretroad/internal/platform"
+	"egretroad/internal/proxy"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/standin/objectapi"
+)
+
+// controlPatience bounds waits for changes to spread.
+const controlPatience = 30 * time.Second
+
+// testKey is the fleet key of proxies that tests start one by one.
+const testKey = "control-test-fleet-key"
+
+func startDemo(t *testing.T, proxies int) *demo.Demo {
+	t.Helper()
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Scale = proxies, 0
+	d, err := demo.Start(t.Context(), demo.Options{Deployment: o, Log: eventlog.Discard()})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(d.Stop)
+	return d
+}
+
+func operatorOf(d *demo.Demo, by string) *operate.Operator {
+	return operate.New(platform.NewClient(d.Stands.Platform.URL(), platform.DefaultClientOptions()), by)
+}
+
+func measured(limit int) operate.Input {
+	return operate.Input{Entry: catalogue.Entry{
+		Name: "measured", Kind: "measured", Owner: "test", Database: "orders1", Rank: catalogue.RankReports,
+		Access: catalogue.AccessRead, Deadline: 1000, MaxConcurrent: limit,
+	}}
+}
+
+// limitsOf returns the limit in force on each proxy; 0 where there is no entry.
+func limitsOf(proxies []*proxy.Proxy) func() []int {
+	return func() []int {
+		limits := make([]int, 0, len(proxies))
+		for _, p := range proxies {
+			e, _ := p.Snapshot().Catalogue.Entry("measured")
+			limits = append(limits, e.MaxConcurrent)
+		}
+		return limits
+	}
+}
+
+func waitInForce(t *testing.T, o *operate.Operator, version uint64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), controlPatience)
+	defer cancel()
+	NewWithT(t).Expect(o.Wait(ctx, platform.KindCatalogue, "measured", version, nil)).To(Succeed())
+}
+
+func TestSimultaneousEditsAndLostAnswers(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	d := startDemo(t, 3)
+	base, err := operatorOf(d, "ana").Apply(ctx, measured(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	d.Stands.Platform.LoseAnswers(3, objectapi.CallPut)
+	type outcome struct {
+		limit int
+		err   error
+	}
+	outcomes := make(chan outcome, 2)
+	for _, limit := range []int{2, 3} {
+		go func() {
+			in := measured(limit)
+			in.Version = &base.Version
+			_, err := operatorOf(d, "op").Apply(ctx, in)
+			outcomes <- outcome{limit, err}
+		}()
+	}
+	winner, conflicts := 0, 0
+	for range 2 {
+		o := <-outcomes
+		var conflict *operate.ConflictError
+		switch {
+		case o.err == nil:
+			winner = o.limit
+		case errors.As(o.err, &conflict):
+			conflicts++
+		default:
+			t.Fatalf("neither accepted nor a conflict: %v", o.err)
+		}
+	}
+	g.Expect(conflicts).To(Equal(1))
+	g.Eventually(limitsOf(d.Proxies), controlPatience).Should(HaveEach(winner))
+}
+
+func TestApplyWaitsForEveryProxy(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	d := startDemo(t, 6)
+	o := operatorOf(d, "ana")
+	for limit := 1; limit <= 3; limit++ {
+		result, err := o.Apply(ctx, measured(limit))
+		g.Expect(err).NotTo(HaveOccurred())
+		waitInForce(t, o, result.Version)
+		g.Expect(limitsOf(d.Proxies)()).To(HaveEach(limit), "in force when the wait returns")
+	}
+}
+
+func TestPartedDataCentreIsNamedAndConverges(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	d := startDemo(t, 6)
+	o := operatorOf(d, "ana")
+	first, err := o.Apply(ctx, measured(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	waitInForce(t, o, first.Version)
+	cut := d.Stands.DataCentres()[1]
+	g.Expect(d.Stands.Network.Cut(cut)).To(Succeed())
+	second, err := o.Apply(ctx, measured(2))
+	g.Expect(err).NotTo(HaveOccurred())
+	short, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	var late *operate.NotInForceError
+	g.Expect(errors.As(o.Wait(short, platform.KindCatalogue, "measured", second.Version, nil), &late)).To(BeTrue())
+	for _, lag := range late.Lags {
+		g.Expect(lag.DataCentre).To(Equal(cut))
+	}
+	g.Expect(late.Lags).NotTo(BeEmpty())
+	for i, p := range d.Proxies {
+		snapshot := p.Snapshot()
+		if d.Stands.VMs[i].DataCentre == cut {
+			g.Expect(snapshot.Homes).NotTo(BeEmpty(), "the parted data centre keeps its homes")
+		}
+	}
+	d.Stands.Network.Heal()
+	waitInForce(t, o, second.Version)
+	g.Expect(limitsOf(d.Proxies)()).To(HaveEach(2))
+}
+
+func TestPlatformOutageDuringAndAfterAChange(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	d := startDemo(t, 3)
+	o := operatorOf(d, "ana")
+	first, err := o.Apply(ctx, measured(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	waitInForce(t, o, first.Version)
+
+	d.Stands.Platform.Outage(true)
+	short, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, err = o.Apply(short, measured(2))
+	g.Expect(err).To(HaveOccurred(), "during the outage no change is accepted")
+	g.Expect(limitsOf(d.Proxies)()).To(HaveEach(1), "what is in force stays")
+	d.Stands.Platform.Outage(false)
+
+	// The platform goes down as soon as it has accepted a change: proxies that
+	// hear of it relay it, the others get it from them or when it is back.
+	_, err = d.Stands.Platform.Put(platform.KindCatalogue, "measured", measured(3).Entry)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(limitsOf(d.Proxies), controlPatience).Should(ContainElement(3))
+	d.Stands.Platform.Outage(true)
+	g.Eventually(limitsOf(d.Proxies), controlPatience).Should(HaveEach(3), "spreads while the platform is down")
+	d.Stands.Platform.Outage(false)
+}
+
+func TestProxyStartsFromPeersWhileThePlatformIsDown(t *testing.T) {
+	g := NewWithT(t)
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Scale = 3, 0
+	stands, err := deployment.Start(o)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(stands.Close)
+	var proxies []*proxy.Proxy
+	start := func(i int) *proxy.Proxy {
+		p, err := proxy.New(demo.Settings(stands, stands.VMs[i], testKey), eventlog.Discard())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.Start(t.Context())).To(Succeed())
+		t.Cleanup(p.Kill)
+		proxies = append(proxies, p)
+		return p
+	}
+	first := start(0)
+	g.Eventually(first.Ready, controlPatience).Should(BeTrue())
+	stands.Platform.Outage(true)
+	second := start(1)
+	g.Eventually(second.Ready, controlPatience).Should(BeTrue(), "the peer's copy is enough")
+	g.Expect(second.Snapshot().Groups).To(HaveLen(len(stands.Databases())))
+	stands.Platform.Outage(false)
+	third := start(2)
+	g.Eventually(third.Ready, controlPatience).Should(BeTrue())
+	g.Eventually(func() bool {
+		for _, p := range proxies {
+			if len(p.Snapshot().VMs) != 3 {
+				return false
+			}
+		}
+		return true
+	}, controlPatience).Should(BeTrue(), "all agree on the VMs")
+}
