--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -18,8 +18,12 @@
 
 	"egretroad/tools/measure/catalogue"
 	"egretroad/tools/measure/control"
+	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/flood"
+	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
+	"egretroad/tools/measure/reads"
 	"egretroad/tools/measure/report"
 	"egretroad/tools/measure/restart"
 )
@@ -31,8 +35,12 @@
 var measurements = map[string]report.Func{
 	"catalogue": catalogue.Run,
 	"control":   control.Run,
-	"restart":   restart.Run,
+	"drain":     drain.Run,
+	"flood":     flood.Run,
+	"outcomes":  outcomes.Run,
 	"path":      path.Run,
+	"reads":     reads.Run,
+	"restart":   restart.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
