--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/lib/pq"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"egretroad/internal/demo"
@@ -20,17 +21,6 @@
 	"egretroad/internal/standin/deployment"
 )
 
-// start runs a demo without the stand-ins' delays.
-func start(t *testing.T) *demo.Demo {
-	t.Helper()
-	o := deployment.DefaultOptions()
-	o.Scale = 0
-	d, err := demo.Start(context.Background(), demo.Options{Deployment: o, Log: eventlog.Discard()})
-	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(d.Stop)
-	return d
-}
-
 func dsn(addr, database string) string {
 	host, port, _ := net.SplitHostPort(addr)
 	return fmt.Sprintf("host=%s port=%s dbname=%s user=shop sslmode=disable", host, port, database)
@@ -48,25 +38,57 @@
 	return ""
 }
 
-func TestClientsThroughEachProxy(t *testing.T) {
-	d := start(t)
-	var line bytes.Buffer
-	gomega.NewWithT(t).Expect(d.WriteReady(&line)).To(gomega.Succeed())
-	gomega.NewWithT(t).Expect(line.String()).To(gomega.MatchRegexp(
-		`^event=ready proxies=127\.0\.0\.1:\d+,127\.0\.0\.1:\d+,127\.0\.0\.1:\d+ databases=orders1,orders2,orders3 platform=127\.0\.250\.1:\d+\n$`))
-	for i, p := range d.Proxies {
-		for _, database := range d.Stands.Databases() {
-			name := fmt.Sprintf("proxy %d %s", i, database)
-			t.Run(name+" pgx", func(t *testing.T) { checkPgx(t, dsn(p.CallerAddr(), database), fmt.Sprint("pgx", i)) })
-			t.Run(name+" lib/pq", func(t *testing.T) { checkPq(t, dsn(p.CallerAddr(), database), fmt.Sprint("pq", i)) })
+func TestDemo(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "demo")
+}
+
+var _ = ginkgo.Describe("A demonstration deployment", ginkgo.Ordered, func() {
+	var d *demo.Demo
+
+	ginkgo.BeforeAll(func() {
+		o := deployment.DefaultOptions()
+		o.Scale = 0
+		var err error
+		d, err = demo.Start(context.Background(), demo.Options{Deployment: o, Log: eventlog.Discard()})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(d.Stop)
+	})
+
+	ginkgo.It("names its proxies, databases and platform", func() {
+		var line bytes.Buffer
+		gomega.Expect(d.WriteReady(&line)).To(gomega.Succeed())
+		gomega.Expect(line.String()).To(gomega.MatchRegexp(
+			`^event=ready proxies=127\.0\.0\.1:\d+,127\.0\.0\.1:\d+,127\.0\.0\.1:\d+ databases=orders1,orders2,orders3 platform=127\.0\.250\.1:\d+\n$`))
+	})
+
+	ginkgo.DescribeTable("serves unmodified client libraries through each proxy and database",
+		func(proxy int, database string, check func(g gomega.Gomega, dsn, key string)) {
+			key := fmt.Sprint(ginkgo.CurrentSpecReport().LeafNodeText, proxy)
+			check(gomega.NewGomega(ginkgo.Fail), dsn(d.Proxies[proxy].CallerAddr(), database), key)
+		},
+		clientEntries(),
+	)
+
+	ginkgo.It("refuses unknown work and writes of kinds that read", func() { checkKinds(gomega.NewGomega(ginkgo.Fail), d) })
+})
+
+// clientEntries pairs each proxy and database of the deployment with each library.
+func clientEntries() []ginkgo.TableEntry {
+	var entries []ginkgo.TableEntry
+	for proxy := range deployment.DefaultOptions().Proxies {
+		for _, database := range []string{"orders1", "orders2", "orders3"} {
+			entries = append(entries,
+				ginkgo.Entry(fmt.Sprintf("pgx, proxy %d, %s", proxy, database), proxy, database, checkPgx),
+				ginkgo.Entry(fmt.Sprintf("lib/pq, proxy %d, %s", proxy, database), proxy, database, checkPq))
 		}
 	}
+	return entries
 }
 
 // checkPgx uses pgx with its defaults: the extended protocol with named
 // prepared statements.
-func checkPgx(t *testing.T, dsn, key string) {
-	g := gomega.NewWithT(t)
+func checkPgx(g gomega.Gomega, dsn, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	conn, err := pgx.Connect(ctx, dsn)
@@ -111,8 +133,7 @@
 }
 
 // checkPq uses database/sql with lib/pq.
-func checkPq(t *testing.T, dsn, key string) {
-	g := gomega.NewWithT(t)
+func checkPq(g gomega.Gomega, dsn, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	db, err := sql.Open("postgres", dsn)
@@ -142,9 +163,7 @@
 		"the cancelled statement left the server")
 }
 
-func TestUnknownWorkAndReadOnlyKinds(t *testing.T) {
-	g := gomega.NewWithT(t)
-	d := start(t)
+func checkKinds(g gomega.Gomega, d *demo.Demo) {
 	ctx := context.Background()
 	addr := d.Proxies[0].CallerAddr()
 	_, err := pgx.Connect(ctx, dsn(addr, "orders1")+" egretroad.work=nonsense")
