Pause between questions for an unknown mark

Change: a try that ended before a server was chosen waits for a change or its backoff; the write deadline of callers' connections is moved seldom.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -289,7 +289,9 @@
 		g.refused(r.server, reason)
 		r.excluded = append(r.excluded, r.server)
 	}
-	switch routing.After(r.entry.Access, reason, s.hasOther(r)) {
+	// Without a server chosen, another try at once would meet the same state.
+	more := r.server != "" && s.hasOther(r)
+	switch routing.After(r.entry.Access, reason, more) {
 	case routing.TryOther:
 		return reason == outcome.ReasonBehind || s.spendRetry()
 	case routing.WaitAndRetry:
--- a/internal/gateway/fakehome_test.go
+++ b/internal/gateway/fakehome_test.go
@@ -30,6 +30,8 @@
 	lag      map[string]time.Duration
 	live     atomic.Int64 // lanes open now
 	gate     chan struct{}
+	// positionError is the answer to questions for the primary's position.
+	positionError error
 }
 
 func newFakeHome() *fakeHome {
@@ -52,7 +54,7 @@
 func (h *fakeHome) Position(context.Context, string) (topology.Mark, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return topology.Mark{Database: "orders1", Term: h.term, Position: h.position}, nil
+	return topology.Mark{Database: "orders1", Term: h.term, Position: h.position}, h.positionError
 }
 
 func (h *fakeHome) WaitApplied(context.Context, string, topology.Mark) (topology.ServerStatus, error) {
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -222,6 +222,22 @@
 	f.Expect(err.(*pgconn.PgError).Detail).To(Equal("retry_safe=yes reason=primary_replaced outcome=not_run"))
 }
 
+// TestUnknownMarkIsAskedForWithPauses runs a read whose primary cannot be asked.
+func TestUnknownMarkIsAskedForWithPauses(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.MinRetryBackoff = 40 * time.Millisecond })
+	snap := testSnapshot()
+	entry, _ := snap.Catalogue.Entry("stock")
+	entry.Deadline = 200
+	snap.Catalogue = catalogue.New([]catalogue.Entry{entry})
+	f.source.Publish(snap)
+	f.home.positionError = &outcome.NotRunError{Reason: outcome.ReasonHomeLost}
+	conn := f.connect("&egretroad.work=stock")
+	_, err := conn.Exec(f.context(), "SELECT value FROM kv WHERE key = 'a'")
+	f.Expect(code(err)).To(Equal(outcome.CodeNotRun))
+	f.Expect(err.(*pgconn.PgError).Detail).To(ContainSubstring("reason=mark_unknown"))
+	f.Expect(f.gateway.counters.positions.Value()).To(BeNumerically("<=", 10))
+}
+
 // TestUnknownIsSentOnce also covers a transaction's COMMIT.
 func TestUnknownIsSentOnce(t *testing.T) {
 	f := newFixture(t)
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -47,8 +47,9 @@
 	readErr   error
 	nonBlock  bool
 
-	output  *[]byte
-	flushed int64 // bytes sent to the caller
+	output        *[]byte
+	flushed       int64 // bytes sent to the caller
+	writeDeadline time.Time
 }
 
 func newWire(g *Gateway, conn net.Conn) *wire {
@@ -391,7 +392,7 @@
 	if w.pending() == 0 {
 		return nil
 	}
-	_ = w.conn.SetWriteDeadline(time.Now().Add(w.gateway.options.WriteTimeout))
+	w.boundWrite()
 	n, err := w.conn.Write(*w.output)
 	w.flushed += int64(n)
 	*w.output = (*w.output)[:0]
@@ -402,6 +403,18 @@
 	return wrapConnection(err)
 }
 
+// boundWrite gives the next write between one and two write timeouts. The
+// deadline is moved seldom, since moving it costs more than a small write saves.
+func (w *wire) boundWrite() {
+	now := time.Now()
+	timeout := w.gateway.options.WriteTimeout
+	if w.writeDeadline.Sub(now) >= timeout {
+		return
+	}
+	w.writeDeadline = now.Add(2 * timeout)
+	_ = w.conn.SetWriteDeadline(w.writeDeadline)
+}
+
 // closeAfterError ends the connection so that a last error reaches the caller
 // even when bytes of it are still unread.
 func (w *wire) closeAfterError() {
