--- /dev/null
+++ b/tools/measure/flood/faults.go
@@ -0,0 +1,302 @@
+package flood
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"egretroad/internal/outcome"
+	"egretroad/internal/standin/deployment"
+	"egretroad/tools/measure/fleet"
+	"egretroad/tools/measure/report"
+)
+
+// Sizes and times of the measurement with faults.
+const (
+	faultProxies   = 6
+	faultDatabase  = "orders1"
+	ordersCallers  = 48
+	readsCallers   = 48
+	reportsCallers = 800
+	settled        = 3 * time.Second  // load before the first fault
+	afterFailover  = 13 * time.Second // load after the primary has stopped
+	afterDeath     = 10 * time.Second // load after a proxy has died
+	callerTimeout  = 8 * time.Second
+)
+
+// maxGap is the stated target for a change of primary.
+const maxGap = 16 * time.Second
+
+// RunFaults floods real proxies with reports, stops a primary, then kills a
+// proxy, and measures what that costs orders and reads.
+func RunFaults(ctx context.Context, env *report.Env) (*report.Report, error) {
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Seed, o.ServiceTime = faultProxies, env.Seed, shortService
+	f, err := fleet.Start(ctx, fleet.Options{Binary: env.Binary, Deployment: o, LogLevel: "error"})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	m := &faultRun{env: env, fleet: f}
+	if err := m.run(ctx); err != nil {
+		return nil, err
+	}
+	return m.report(), nil
+}
+
+// faultRun is one measurement.
+type faultRun struct {
+	env      *report.Env
+	fleet    *fleet.Fleet
+	orders   *callers
+	reads    *callers
+	reports  *callers
+	stopped  time.Time // primary
+	killed   time.Time // proxy
+	finished time.Time
+}
+
+func (m *faultRun) run(ctx context.Context) error {
+	m.orders = newCallers(m.fleet, "orders", ordersCallers, ordersFlow())
+	m.reads = newCallers(m.fleet, "stock", readsCallers, readsFlow("stock", "", ""))
+	m.reports = newCallers(m.fleet, "reports", reportsCallers, reportsFlow())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	capacity := 2 / shortService.Seconds()
+	var done sync.WaitGroup
+	for i, c := range []*callers{m.orders, m.reads, m.reports} {
+		rate := []float64{quietOrders, quietReads, highest * shortService.Seconds() / reportService.Seconds()}[i] * capacity
+		source := rand.New(rand.NewPCG(m.env.Seed, uint64(i)))
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			c.load(ctx, rate, source)
+		}()
+	}
+	err := m.faults(ctx)
+	m.finished = time.Now()
+	cancel()
+	done.Wait()
+	return err
+}
+
+func (m *faultRun) faults(ctx context.Context) error {
+	if err := pause(ctx, settled); err != nil {
+		return err
+	}
+	m.stopped = time.Now()
+	if err := m.fleet.Fault("stop-primary", faultDatabase); err != nil {
+		return err
+	}
+	m.env.Logf("event=primary_stopped")
+	if err := pause(ctx, afterFailover); err != nil {
+		return err
+	}
+	victim := m.fleet.Proxies[len(m.fleet.Proxies)-1]
+	m.killed = time.Now()
+	victim.Kill()
+	m.env.Logf("event=proxy_killed vm=%s", victim.VM.ID)
+	return pause(ctx, afterDeath)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *faultRun) report() *report.Report {
+	r := report.New("flood-faults", m.env.Seed)
+	r.AtMost("failover.orders_gap_ms", millis(m.orders.gap(m.stopped, m.killed)), millis(maxGap))
+	r.AtMost("failover.reads_gap_ms", millis(m.reads.gap(m.stopped, m.killed)), millis(maxGap))
+	r.AtMost("dead_proxy.orders_gap_ms", millis(m.orders.gap(m.killed, m.finished)), millis(maxGap))
+	r.AtMost("dead_proxy.reads_gap_ms", millis(m.reads.gap(m.killed, m.finished)), millis(maxGap))
+	for name, c := range map[string]*callers{"orders": m.orders, "reads": m.reads, "reports": m.reports} {
+		r.Set(name+".answered", float64(len(c.answered)))
+		r.Set(name+".not_run", float64(c.notRun))
+		r.Set(name+".unknown", float64(c.unknown))
+		r.Set(name+".other", float64(c.other))
+	}
+	notRun, lost := m.check()
+	r.Exactly("not_run_but_seen", float64(notRun), 0)
+	r.Exactly("acknowledged_but_lost", float64(lost), 0)
+	for _, s := range m.fleet.Groups[faultDatabase].Servers() {
+		stats := s.Stats()
+		r.AtMost("connections."+s.ID(), float64(stats.MaxConns), float64(s.Spec().MaxConnections))
+		r.Set("statements."+s.ID(), float64(stats.MaxConcurrent))
+		r.Set("connections_refused."+s.ID(), float64(stats.RefusedConns))
+	}
+	return r
+}
+
+// check compares what callers were told with the primary's rows.
+func (m *faultRun) check() (notRunButSeen, lost int) {
+	data := m.fleet.Groups[faultDatabase].Primary().Data()
+	for key, outcome := range m.orders.keys {
+		_, there := data[key]
+		if outcome == outcomeNotRun && there {
+			notRunButSeen++
+		}
+		if outcome == outcomeAnswered && !there {
+			lost++
+		}
+	}
+	return notRunButSeen, lost
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// callerOutcome is what a caller was told.
+type callerOutcome int
+
+const (
+	outcomeAnswered callerOutcome = iota
+	outcomeNotRun
+	outcomeUnknown
+	outcomeOther // the connection to the proxy broke, or the server's own error
+)
+
+// callers is a set of sessions that offer one kind of work.
+type callers struct {
+	fleet *fleet.Fleet
+	kind  string
+	flow  flow
+	free  chan *session
+
+	mu       sync.Mutex // guards the fields below
+	answered []time.Time
+	notRun   int
+	unknown  int
+	other    int
+	keys     map[string]callerOutcome
+}
+
+// session is one caller's connection.
+type session struct {
+	proxy int // the proxy to connect to next
+	conn  *pgconn.PgConn
+}
+
+func newCallers(f *fleet.Fleet, kind string, count int, work flow) *callers {
+	c := &callers{fleet: f, kind: kind, flow: work, free: make(chan *session, count), keys: map[string]callerOutcome{}}
+	for n := range count {
+		c.free <- &session{proxy: n % len(f.Proxies)}
+	}
+	return c
+}
+
+// load offers work at the arrivals of a Poisson process until ctx ends. An
+// arrival waits for a free session.
+func (c *callers) load(ctx context.Context, rate float64, source *rand.Rand) {
+	var running sync.WaitGroup
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(source.ExpFloat64() / rate * float64(time.Second)))
+		if pause(ctx, time.Until(next)) != nil {
+			break
+		}
+		select {
+		case s := <-c.free:
+			running.Add(1)
+			go func() {
+				defer running.Done()
+				c.note(n, c.send(s, n))
+				c.free <- s
+			}()
+		case <-ctx.Done():
+		}
+	}
+	running.Wait()
+	for range cap(c.free) {
+		if s := <-c.free; s.conn != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = s.conn.Close(ctx) // the measurement is over
+			cancel()
+		}
+	}
+}
+
+func (c *callers) key(n int) string { return fmt.Sprintf("flood-%d", n) }
+
+func (c *callers) sql(n int) string {
+	if c.kind == "orders" {
+		return fmt.Sprintf("INSERT INTO kv (key, value) VALUES ('%s', 'v')", c.key(n))
+	}
+	return c.flow.sql(n)
+}
+
+// send runs one request. A session whose connection broke goes to another proxy
+// with its next request.
+func (c *callers) send(s *session, n int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	if s.conn == nil || s.conn.IsClosed() {
+		s.proxy = (s.proxy + 1) % len(c.fleet.Proxies)
+		conn, err := pgconn.Connect(ctx, c.fleet.Proxies[s.proxy].DSN(faultDatabase, c.kind))
+		if err != nil {
+			s.conn = nil
+			return &notSentError{Cause: err}
+		}
+		s.conn = conn
+	}
+	_, err := s.conn.Exec(ctx, c.sql(n)).ReadAll()
+	return err
+}
+
+// notSentError reports a caller that found no proxy.
+type notSentError struct{ Cause error }
+
+func (e *notSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error { return e.Cause }
+
+// note counts what a caller was told.
+func (c *callers) note(n int, err error) {
+	result := outcomeOther
+	var server *pgconn.PgError
+	switch {
+	case err == nil:
+		result = outcomeAnswered
+	case errors.As(err, new(*notSentError)):
+		result = outcomeNotRun
+	case errors.As(err, &server) && server.Code == outcome.CodeNotRun:
+		result = outcomeNotRun
+	case errors.As(err, &server) && server.Code == outcome.CodeUnknown:
+		result = outcomeUnknown
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys[c.key(n)] = result
+	switch result {
+	case outcomeAnswered:
+		c.answered = append(c.answered, time.Now())
+	case outcomeNotRun:
+		c.notRun++
+	case outcomeUnknown:
+		c.unknown++
+	default:
+		c.other++
+	}
+}
+
+// gap returns the longest time between two answers, or the ends, of a stretch.
+func (c *callers) gap(from, to time.Time) time.Duration {
+	last, longest := from, time.Duration(0)
+	for _, at := range c.answered {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
+	return max(longest, to.Sub(last))
+}
--- a/tools/measure/flood/flood.go
+++ b/tools/measure/flood/flood.go
@@ -70,7 +70,7 @@
 
 // series is what one variant brought on one deployment.
 type series struct {
-	deployment deployment
+	deployment sizing
 	variant    variant
 	quiet      *result
 	reports    []point // floods of reports
--- a/tools/measure/flood/target.go
+++ b/tools/measure/flood/target.go
@@ -16,8 +16,8 @@
 	"egretroad/internal/txn"
 )
 
-// deployment is the size of one cooperative's servers.
-type deployment struct {
+// sizing is the size of one cooperative's servers.
+type sizing struct {
 	name         string
 	databases    int // primaries that are loaded at the same time
 	slots        int
@@ -25,7 +25,7 @@
 	connectDelay time.Duration
 }
 
-var deployments = []deployment{
+var deployments = []sizing{
 	{name: "bright-spokes", databases: 3, slots: 2, connections: 16, connectDelay: 10 * time.Millisecond},
 	{name: "cabra-ronda", databases: 1, slots: 5, connections: 55, connectDelay: 30 * time.Millisecond},
 }
@@ -46,7 +46,7 @@
 
 // target is one database group with its home.
 type target struct {
-	deployment deployment
+	deployment sizing
 	group      *pgserver.Group
 	manager    *home.Manager
 }
@@ -57,7 +57,7 @@
 )
 
 // newTarget starts servers and their home. number keeps addresses apart.
-func newTarget(d deployment, number int, seed uint64, options admission.Options) (*target, error) {
+func newTarget(d sizing, number int, seed uint64, options admission.Options) (*target, error) {
 	var specs []pgserver.ServerSpec
 	for i, id := range []string{primaryID, replicaID} {
 		specs = append(specs, pgserver.ServerSpec{
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -27,8 +27,9 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"flood": flood.Run,
-	"path":  path.Run,
+	"flood":        flood.Run,
+	"flood-faults": flood.RunFaults,
+	"path":         path.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
