--- a/tools/measure/flood/flood.go
+++ b/tools/measure/flood/flood.go
@@ -7,9 +7,11 @@
 package flood
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +47,9 @@
 	shortRun = 1500 * time.Millisecond
 )
 
+// staggerSteps is how many runs later each series begins.
+const staggerSteps = 2
+
 // multiples are the offered loads of the flooding kind, in capacities.
 var multiples = []float64{1, 2, 5, 10}
 
@@ -139,12 +144,17 @@
 		defer t.close()
 		r.targets = append(r.targets, t)
 	}
-	for _, step := range s.steps(r, env) {
+	steps := s.steps(r, env)
+	// Each series begins elsewhere, so that not all offer their highest load at once.
+	for i := range steps {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		step()
+		steps[(i+int(number)*staggerSteps)%len(steps)]()
 	}
+	byLoad := func(a, b point) int { return cmp.Compare(a.load, b.load) }
+	slices.SortFunc(s.reports, byLoad)
+	slices.SortFunc(s.orders, byLoad)
 	s.readServers(r)
 	return nil
 }
--- a/tools/measure/flood/load.go
+++ b/tools/measure/flood/load.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	offered int
 	done    int // whole answers
+	served  int // whole answers that came within the counted stretch, whenever asked for
 	refused map[outcome.Reason]int
 	other   int // failed or unknown
 	latency *hdrhistogram.Histogram
@@ -55,6 +56,13 @@
 	}
 }
 
+// serve counts an answer by its time.
+func (t *tally) serve() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served++
+}
+
 // p99 returns the 99th percentile of whole answers' latency, in milliseconds.
 func (t *tally) p99() float64 {
 	const usPerMS = 1000
@@ -68,10 +76,11 @@
 	slots   int // of all targets together
 }
 
-// share returns the part of the slot time that an entry's answers used.
+// share returns the part of the slot time that an entry's answers used, counted
+// by the time at which they came.
 func (r *result) share(f flow) float64 {
 	t := r.tallies[f.entry.Name]
-	return float64(t.done) * f.service.Seconds() / (r.length.Seconds() * float64(r.slots))
+	return float64(t.served) * f.service.Seconds() / (r.length.Seconds() * float64(r.slots))
 }
 
 // success returns the part of an entry's requests that were answered.
@@ -138,6 +147,9 @@
 			if counted {
 				counts.add(time.Since(due), failed, err)
 			}
+			if after := time.Since(began) - warmUp; err == nil && !failed && after > 0 && after <= length {
+				counts.serve()
+			}
 		}()
 	}
 }
--- a/tools/measure/flood/target.go
+++ b/tools/measure/flood/target.go
@@ -32,8 +32,8 @@
 
 // Service times of the load's statements at the stand-in.
 const (
-	shortService  = 8 * time.Millisecond
-	reportService = 32 * time.Millisecond
+	shortService  = 12 * time.Millisecond
+	reportService = 48 * time.Millisecond
 )
 
 // granted is an authority that confirms every write at once.
