--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -211,6 +211,9 @@
 			return txn.Result{}, err
 		}
 	}
+	if l.s.now() >= deadline {
+		return txn.Result{}, notRun(outcome.ReasonDeadline, "the deadline passed before the statement was sent")
+	}
 	l.runDeadline = deadline
 	result, err := l.attempt(ctx, b, sink, deadline)
 	l.first = false
