Replace a primary whose data centre has no live VM; kill proxies whole

And Proxy.Kill left control and the homes running. Change: detection counts a primary without a home as failed (primary_homeless, after 2 s); Kill stops every part; the tests' platform list drops a dead VM. Conclusion: a scenario of the authority machine and a history test keep it. A lone VM has no monitors, so its death shows only through the platform's list.

--- a/internal/authority/detect.go
+++ b/internal/authority/detect.go
@@ -11,6 +11,7 @@
 	ReasonRefused   = "primary_refused"
 	ReasonSilent    = "primary_silent"
 	ReasonParted    = "primary_parted"
+	ReasonHomeless  = "primary_homeless" // its data centre has no live VM
 	ReasonInvalid   = "primary_invalid"
 	ReasonLeaving   = "primary_leaving"
 	ReasonNoPrimary = "no_primary"
@@ -59,10 +60,18 @@
 		return ReasonSilent
 	case !heard && quiet >= o.MissingAfter && b.replicationStalled(g):
 		return ReasonParted
+	case !heard && quiet >= o.HomelessAfter && b.homeless(primary):
+		return ReasonHomeless
 	}
 	return ""
 }
 
+// homeless reports whether no live VM can be home of a server, so that nobody
+// serves it, however well it does.
+func (b *evidenceBook) homeless(server string) bool {
+	return len(b.m.snapshot.VMs) > 0 && b.m.snapshot.Homes[server] == ""
+}
+
 // contradicts returns ReasonInvalid when the reachable primary has not been a
 // primary of the group's term for InvalidAfter.
 func (b *evidenceBook) contradicts(g *groupState) string {
--- a/internal/authority/options.go
+++ b/internal/authority/options.go
@@ -43,6 +43,9 @@
 	// MissingAfter is how long nothing good must be heard of a primary whose
 	// home is silent.
 	MissingAfter time.Duration
+	// HomelessAfter is how long nothing good must be heard of a primary whose
+	// data centre has no live VM, also while replication goes on.
+	HomelessAfter time.Duration
 	// StallAfter is how long replication must stand still on the replicas.
 	StallAfter time.Duration
 	// InvalidAfter is how long a reachable primary must contradict its role.
@@ -95,6 +98,7 @@
 		FailAfter:            900 * time.Millisecond,
 		RefuseAfter:          1200 * time.Millisecond,
 		MissingAfter:         1000 * time.Millisecond,
+		HomelessAfter:        2000 * time.Millisecond,
 		StallAfter:           700 * time.Millisecond,
 		InvalidAfter:         1500 * time.Millisecond,
 		PauseGap:             500 * time.Millisecond,
--- a/internal/authority/scenario_test.go
+++ b/internal/authority/scenario_test.go
@@ -79,10 +79,21 @@
 	}
 }
 
+// stopCentre ends every VM of a data centre; its servers go on.
+func (w *world) stopCentre(dc string) {
+	for _, vm := range w.vms {
+		if vm.dc == dc {
+			vm.stop()
+		}
+	}
+}
+
 // failures of a primary that a promotion must end.
 var failures = map[string]func(w *world){
 	"dead": func(w *world) { w.server["s-a"].up = false },
 	"cut":  func(w *world) { w.cut["a"] = true },
+	// Its replicas still follow it, but no VM of its data centre serves it.
+	"alive without a VM": func(w *world) { w.stopCentre("a") },
 	"dead with its home": func(w *world) {
 		w.server["s-a"].up = false
 		w.homeOfPrimary().stop()
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -87,8 +87,11 @@
 	f.proxies[i] = p
 }
 
-// kill ends a proxy as a dead VM does.
+// kill ends a proxy as a dead VM does; the platform's list drops it later.
 func (f *fleet) kill(i int) {
+	if err := f.SetVMState(f.VMs[i].ID, ""); err != nil {
+		f.t.Error(err)
+	}
 	f.mu.Lock()
 	p := f.proxies[i]
 	f.proxies[i] = nil
--- a/internal/e2e/history_test.go
+++ b/internal/e2e/history_test.go
@@ -89,6 +89,15 @@
 	"cut data centre": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
 		return f.Fault(deployment.ActionCut, group.Primary().Spec().DataCentre)
 	},
+	// The only VM of the primary's data centre dies; the server goes on.
+	"dead VM of the primary": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		for i, vm := range f.VMs {
+			if vm.DataCentre == group.Primary().Spec().DataCentre {
+				f.kill(i)
+			}
+		}
+		return nil
+	},
 	"dead proxy": func(f *fleet, _ *pgserver.Group, rng *rand.Rand) error {
 		f.kill(rng.IntN(len(f.VMs)))
 		return nil
@@ -119,6 +128,9 @@
 			report(t, found)
 			g.Expect(broken(found)).To(BeEmpty())
 			g.Expect(group.DoublePromotions()).To(BeZero())
+			if name != "dead proxy" {
+				g.Expect(group.Primary().Stats().Term).To(BeNumerically(">", 1), "the primary was replaced")
+			}
 			c := w.Counts()
 			t.Logf("ok %d, not run %d, failed %d, unknown %d, connect failed %d, term %d",
 				c.OK.Load(), c.NotRun.Load(), c.Failed.Load(), c.Unknown.Load(), c.ConnectFailed.Load(),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,11 +100,15 @@
 // Kill ends the proxy at once, without a drain or a farewell, as a dead VM does.
 func (p *Proxy) Kill() {
 	p.killed.Store(true)
-	p.parts.Node.Stop()
-	p.parts.Gateway.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = p.app.Stop(ctx) // a killed proxy reports nothing
+	c := &p.parts
+	c.Node.Stop()
+	c.Gateway.Close()
+	_ = c.Control.Stop(ctx) // a killed proxy reports nothing
+	c.Homes.Stop(ctx)
+	_ = c.Operator.Stop(ctx) // as above
+	c.Listeners.close()
 }
 
 // Ready reports whether the proxy serves callers.
