--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -16,6 +16,8 @@
 
 	"github.com/spf13/cobra"
 
+	"egretroad/tools/measure/catalogue"
+	"egretroad/tools/measure/control"
 	"egretroad/tools/measure/drain"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
@@ -23,6 +25,7 @@
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/reads"
 	"egretroad/tools/measure/report"
+	"egretroad/tools/measure/restart"
 )
 
 // runTimeout bounds one measurement.
@@ -30,11 +33,15 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"drain":    drain.Run,
-	"flood":    flood.Run,
-	"outcomes": outcomes.Run,
-	"path":     path.Run,
-	"reads":    reads.Run,
+	"catalogue":    catalogue.Run,
+	"control":      control.Run,
+	"drain":        drain.Run,
+	"flood":        flood.Run,
+	"flood-faults": flood.RunFaults,
+	"outcomes":     outcomes.Run,
+	"path":         path.Run,
+	"reads":        reads.Run,
+	"restart":      restart.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
