--- a/tools/measure/flood/plot.go
+++ b/tools/measure/flood/plot.go
@@ -22,6 +22,9 @@
 	plotHeight = 11 * vg.Centimeter
 )
 
+// legendRoom is the end of the axis, past the highest load, in capacities.
+const legendRoom = 14
+
 // plotAll draws goodput and p99 for each kind over the offered load.
 func plotAll(all []*series, env *report.Env) error {
 	if _, err := os.Stat(plotFolder); err != nil {
@@ -64,6 +67,7 @@
 	p.X.Label.Text = "offered load, capacities"
 	p.Y.Label.Text = unit
 	p.Legend.Top = true
+	p.X.Max = legendRoom
 	p.Add(plotter.NewGrid())
 	for v, s := range chosen {
 		for k, f := range allFlows()[:3] {
