Bound the prepared statements of a connection also when sessions only prepare

Cause: a fuzz of rewritten batches found a connection with more statements than its limit: the oldest were closed only when a batch lacked some. Change: they are closed with any batch.

--- a/internal/home/bench_test.go
+++ b/internal/home/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -11,7 +12,12 @@
 
 // BenchmarkRead measures a prepared read through a lane against the stand-in,
 // whose own work is included.
-func BenchmarkRead(b *testing.B) {
+func BenchmarkRead(b *testing.B) { benchmarkRead(b, 1) }
+
+// BenchmarkReadQueued has more callers than slots, so that most of them wait.
+func BenchmarkReadQueued(b *testing.B) { benchmarkRead(b, 16) }
+
+func benchmarkRead(b *testing.B, callers int) {
 	f := newFixture(&testing.T{}, nil)
 	f.group.SetRecording(false)
 	st := txn.Statement{Name: "s", SQL: selectA}
@@ -21,15 +27,25 @@
 	}
 	f.open(read("db-b")).Close()
 	b.ReportAllocs()
-	for b.Loop() {
-		lane, err := f.manager.Open(context.Background(), read("db-b"))
-		if err != nil {
-			b.Fatal(err)
-		}
-		if _, err := lane.Run(context.Background(), batch, discard); err != nil {
-			b.Fatal(err)
-		}
+	var done sync.WaitGroup
+	each := max(1, b.N/callers)
+	b.ResetTimer()
+	for range callers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for range each {
+				lane, err := f.manager.Open(context.Background(), read("db-b"))
+				if err == nil {
+					_, err = lane.Run(context.Background(), batch, discard)
+				}
+				if err != nil {
+					b.Error(err)
+				}
+			}
+		}()
 	}
+	done.Wait()
 }
 
 func discard([]byte) error { return nil }
--- a/internal/home/rewrite.go
+++ b/internal/home/rewrite.go
@@ -66,7 +66,7 @@
 }
 
 // prepareMissing prepares the statements that the connection lacks, and closes
-// as many that have not been used for long.
+// those that are then too many and have not been used for long.
 func prepareMissing(out []byte, answers []expected, needed []txn.Statement, statements *pool.Statements) ([]byte, []expected) {
 	missing := 0
 	for _, st := range needed {
@@ -74,9 +74,6 @@
 			missing++
 		}
 	}
-	if missing == 0 {
-		return out, answers
-	}
 	for _, name := range statements.Oldest(missing) {
 		if isNeeded(needed, name) {
 			continue
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -18,7 +18,7 @@
 
 func newConn(c *backend.Conn, maxStatements int) *Conn {
 	now := time.Now()
-	return &Conn{Conn: c, Statements: newStatements(maxStatements), answered: now, lastWork: now}
+	return &Conn{Conn: c, Statements: NewStatements(maxStatements), answered: now, lastWork: now}
 }
 
 // Settings returns the key of the session settings in force.
@@ -38,7 +38,8 @@
 	names map[string]*list.Element
 }
 
-func newStatements(limit int) *Statements {
+// NewStatements returns an empty list that is kept to a limit.
+func NewStatements(limit int) *Statements {
 	return &Statements{limit: limit, order: list.New(), names: make(map[string]*list.Element)}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -124,7 +124,7 @@
 
 func TestStatementsForgetTheOldest(t *testing.T) {
 	g := NewWithT(t)
-	s := newStatements(3)
+	s := NewStatements(3)
 	for n := range 3 {
 		s.Add(fmt.Sprint(n))
 	}
