--- /dev/null
+++ b/internal/e2e/failover/paused_test.go
@@ -0,0 +1,168 @@
+package failover_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/platform"
+	"egretroad/internal/standin/deployment"
+	"egretroad/internal/topology"
+	"egretroad/tools/measure/fleet"
+)
+
+// Sizes of the test of a paused holder.
+const (
+	holderCallers = 4
+	replyDelay    = 50 * time.Millisecond // keeps committed writes without an answer
+)
+
+// TestAHolderPausedPastItsLeaseAcknowledgesNothingOld stops the process that
+// holds the lease while its server has committed writes, lets another server be
+// promoted, and resumes the process.
+func TestAHolderPausedPastItsLeaseAcknowledgesNothingOld(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*waitLimit)
+	defer cancel()
+	f := startFleet(ctx, g, t)
+	holder := holderOf(ctx, g, f, "orders1-a")
+	f.Server("orders1-a").SetReplyDelay(replyDelay)
+	writes := &holderWrites{}
+	for i := range holderCallers {
+		writes.start(ctx, holder, fmt.Sprintf("paused%d", i))
+	}
+	g.Eventually(func() int { return len(writes.since(time.Time{})) }, waitLimit, pollPeriod).Should(BeNumerically(">", 20))
+
+	g.Expect(holder.Signal(syscall.SIGSTOP)).To(Succeed())
+	g.Expect(f.Fault("cut", "salish-a")).To(Succeed())
+	g.Eventually(func() bool {
+		group := groupOf(g, f)
+		return group.Term > 1 && group.Promotion == nil
+	}, waitLimit, pollPeriod).Should(BeTrue(), "another server is promoted")
+	resumed := time.Now()
+	g.Expect(holder.Signal(syscall.SIGCONT)).To(Succeed())
+	g.Expect(f.Fault("heal")).To(Succeed())
+	f.Server("orders1-a").SetReplyDelay(0)
+	g.Eventually(func() int { return len(writes.since(resumed)) }, waitLimit, pollPeriod).Should(BeNumerically(">", 20))
+	cancel()
+	writes.done.Wait()
+
+	data := f.Server(groupOf(g, f).Primary).Data()
+	for _, key := range writes.since(resumed) {
+		g.Expect(data).To(HaveKey(key), "a write acknowledged after the pause is at the new primary")
+	}
+	g.Expect(f.Groups[database].DoublePromotions()).To(BeZero())
+}
+
+func startFleet(ctx context.Context, g Gomega, t *testing.T) *fleet.Fleet {
+	binary, remove, err := fleet.Build(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(remove)
+	o := deployment.DefaultOptions()
+	o.Proxies, o.Scale = 6, 0
+	f, err := fleet.Start(ctx, fleet.Options{Binary: binary, Deployment: o, LogLevel: "error", Log: io.Discard})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(f.Stop)
+	entry := catalogue.Entry{
+		Name: database + "." + leaseKind, Kind: leaseKind, Owner: "office", Database: database,
+		Rank: catalogue.RankOrders, Access: catalogue.AccessWrite, Confirm: catalogue.ConfirmAny, Deadline: 5000,
+	}
+	_, err = f.Platform.Put(platform.KindCatalogue, entry.Name, entry)
+	g.Expect(err).NotTo(HaveOccurred())
+	return f
+}
+
+func groupOf(g Gomega, f *fleet.Fleet) topology.Group {
+	o, ok := f.Platform.Get(platform.KindGroup, database)
+	g.Expect(ok).To(BeTrue())
+	var group topology.Group
+	g.Expect(json.Unmarshal(o.Value, &group)).To(Succeed())
+	return group
+}
+
+// holderOf returns the proxy that is home of a server.
+func holderOf(ctx context.Context, g Gomega, f *fleet.Fleet, server string) *fleet.Proxy {
+	var holder *fleet.Proxy
+	g.Eventually(func() *fleet.Proxy {
+		for _, p := range f.Proxies {
+			var dump struct {
+				Homes []struct {
+					Server string `json:"server"`
+				} `json:"homes"`
+			}
+			if p.JSON(ctx, "/dump", &dump) != nil {
+				continue
+			}
+			for _, h := range dump.Homes {
+				if h.Server == server {
+					holder = p
+				}
+			}
+		}
+		return holder
+	}, waitLimit, pollPeriod).ShouldNot(BeNil())
+	return holder
+}
+
+// holderWrites sends inserts through the holder itself.
+type holderWrites struct {
+	done sync.WaitGroup
+	mu   sync.Mutex // guards acks
+	acks []ack
+}
+
+type ack struct {
+	key string
+	at  time.Time
+}
+
+func (w *holderWrites) start(ctx context.Context, p *fleet.Proxy, prefix string) {
+	w.done.Add(1)
+	go func() {
+		defer w.done.Done()
+		for i := 0; ctx.Err() == nil; i++ {
+			w.run(ctx, p, fmt.Sprintf("%s-%d", prefix, i))
+			time.Sleep(pollPeriod)
+		}
+	}()
+}
+
+// run writes on one connection until an error.
+func (w *holderWrites) run(ctx context.Context, p *fleet.Proxy, prefix string) {
+	conn, err := pgx.Connect(ctx, p.DSN(database, leaseKind))
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close(context.Background()) }() // the writes' errors count
+	for i := 0; ctx.Err() == nil; i++ {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		if _, err := conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, 'x')", key); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.acks = append(w.acks, ack{key: key, at: time.Now()})
+		w.mu.Unlock()
+	}
+}
+
+// since lists the keys acknowledged after a time.
+func (w *holderWrites) since(t time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var keys []string
+	for _, a := range w.acks {
+		if a.at.After(t) {
+			keys = append(keys, a.key)
+		}
+	}
+	return keys
+}
--- a/tools/measure/failover/causes.go
+++ b/tools/measure/failover/causes.go
@@ -127,9 +127,39 @@
 	after := group(f, database)
 	env.Logf("%s %s: gap %.2f s, term %d to %d, primary %s to %s, failed writes %v",
 		database, cause, seconds, before.Term, after.Term, before.Primary, after.Primary, w.failures())
+	if seconds >= recoveryLimit.Seconds() {
+		logHome(env, f, database)
+	}
 	return nil
 }
 
+// logHome writes the state of the home of a primary that does not serve.
+func logHome(env *report.Env, f *fleet.Fleet, database string) {
+	home := homeOf(f, database)
+	if home == nil {
+		env.Logf("%s: no proxy is home of the primary", database)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var dump struct {
+		Homes []struct {
+			Server string `json:"server"`
+		} `json:"homes"`
+	}
+	var raw struct {
+		Homes []json.RawMessage `json:"homes"`
+	}
+	if home.JSON(ctx, "/dump", &dump) != nil || home.JSON(ctx, "/dump", &raw) != nil {
+		return
+	}
+	for i, h := range dump.Homes {
+		if h.Server == group(f, database).Primary && i < len(raw.Homes) {
+			env.Logf("%s: home %s: %s", database, home.VM.ID, raw.Homes[i])
+		}
+	}
+}
+
 func inject(f *fleet.Fleet, primary topology.Server, x failure) {
 	server := f.Server(primary.ID)
 	switch x.cause {
