Let replicas lag in the test of a paused holder

Cause: replicas took the writes before the pause, so the test could not fail: a scratch copy in which a lease never lapses passed 2 of 2 runs. Change: replicas lag by 0.5 s. The same copy now fails 2 of 3 runs; the code passes 3 of 3.

--- a/internal/e2e/failover/paused_test.go
+++ b/internal/e2e/failover/paused_test.go
@@ -23,7 +23,8 @@
 // Sizes of the test of a paused holder.
 const (
 	holderCallers = 4
-	replyDelay    = 50 * time.Millisecond // keeps committed writes without an answer
+	replyDelay    = 50 * time.Millisecond  // keeps committed writes without an answer
+	replicaLag    = 500 * time.Millisecond // keeps them from the replicas
 )
 
 // TestAHolderPausedPastItsLeaseAcknowledgesNothingOld stops the process that
@@ -36,6 +37,7 @@
 	f := startFleet(ctx, g, t)
 	holder := holderOf(ctx, g, f, "orders1-a")
 	f.Server("orders1-a").SetReplyDelay(replyDelay)
+	f.Groups[database].SetLag(replicaLag)
 	writes := &holderWrites{}
 	for i := range holderCallers {
 		writes.start(ctx, holder, fmt.Sprintf("paused%d", i))
@@ -52,6 +54,7 @@
 	g.Expect(holder.Signal(syscall.SIGCONT)).To(Succeed())
 	g.Expect(f.Fault("heal")).To(Succeed())
 	f.Server("orders1-a").SetReplyDelay(0)
+	f.Groups[database].SetLag(0)
 	g.Eventually(func() int { return len(writes.since(resumed)) }, waitLimit, pollPeriod).Should(BeNumerically(">", 20))
 	cancel()
 	writes.done.Wait()
