Let moved servers' transactions end when a proxy stops, and bound the stop

Cause: a stop cut transactions of servers whose home had moved before, and waited for ever for a caller that takes no answer. Change: the stop waits for such servers until its deadline, and for closed lanes a bounded time.

--- a/internal/home/manager.go
+++ b/internal/home/manager.go
@@ -17,6 +17,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
+	drains  sync.WaitGroup // servers that this VM is no longer home of
 
 	mu       sync.RWMutex // guards the fields below
 	servers  map[string]*server
@@ -106,9 +107,9 @@
 func (m *Manager) drop(id string, s *server, reason outcome.Reason) {
 	delete(m.servers, id)
 	m.draining[s] = struct{}{}
-	m.done.Add(1)
+	m.drains.Add(1)
 	go func() {
-		defer m.done.Done()
+		defer m.drains.Done()
 		ctx, cancel := context.WithTimeout(m.ctx, m.options.DrainTimeout)
 		defer cancel()
 		s.drain(ctx, reason)
@@ -136,10 +137,25 @@
 		}()
 	}
 	drained.Wait()
+	m.waitDrains(ctx)
 	m.cancel()
+	m.drains.Wait()
 	m.done.Wait()
 }
 
+// waitDrains waits until ctx ends for servers whose home has moved before.
+func (m *Manager) waitDrains(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		m.drains.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // find returns a server of this home.
 func (m *Manager) find(id string) (*server, error) {
 	m.mu.RLock()
--- a/internal/home/server.go
+++ b/internal/home/server.go
@@ -25,7 +25,6 @@
 	began    time.Time // the machine's clock counts from here
 	view     atomic.Pointer[view]
 	lanes    sync.WaitGroup
-	closeAll chan struct{} // closed when lanes must end now
 
 	mu        sync.Mutex // guards the fields below
 	machine   *admission.Machine
@@ -49,7 +48,6 @@
 	s := &server{
 		options: options, deps: deps, id: v.spec.ID, database: v.group.Database, spec: v.spec,
 		budget: newRetryBudget(options.RetryShare, options.RetryBurst), began: time.Now(),
-		closeAll:  make(chan struct{}),
 		machine:   admission.New(options.Admission),
 		waiters:   make(map[admission.ID]*waiter),
 		kinds:     make(map[string]*kindStats),
@@ -229,9 +227,8 @@
 	select {
 	case <-ended:
 	case <-ctx.Done():
-		close(s.closeAll)
 		s.closeLanes()
-		<-ended
+		s.waitClosed(ended)
 	}
 	s.status.stop()
 	s.pool.Close()
@@ -240,6 +237,18 @@
 	s.mu.Unlock()
 }
 
+// waitClosed waits for lanes that were closed. One whose caller takes no answer
+// keeps nothing of the server and is not waited for.
+func (s *server) waitClosed(ended <-chan struct{}) {
+	timer := time.NewTimer(s.options.CancelGrace + s.options.RollbackTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		s.deps.Log.Warn("lanes_left_open", "server", s.id)
+	}
+}
+
 // closeLanes ends every open transaction.
 func (s *server) closeLanes() {
 	s.mu.Lock()
