Send work that is not repeatable once, also after a known rollback

Change: NotRunError says whether a statement may have been sent; home and gateway then send only repeatable work again. Tests of the gateway and of the histories; a broken variant that the check finds.

--- a/internal/e2e/history/history.go
+++ b/internal/e2e/history/history.go
@@ -83,6 +83,7 @@
 const (
 	RuleReadYourWrites Rule = "read_your_writes"
 	RuleAtMostOnce     Rule = "at_most_once"
+	RuleSentOnce       Rule = "not_repeatable_sent_once"
 	RuleNotRun         Rule = "not_run_has_no_effect"
 	RuleNoLostWrite    Rule = "acknowledged_write_survives"
 	RuleNoMixing       Rule = "transactions_do_not_mix"
--- a/internal/e2e/history/history_test.go
+++ b/internal/e2e/history/history_test.go
@@ -111,6 +111,17 @@
 	g.Expect(whole(x1, x2, y)).NotTo(BeEmpty())
 }
 
+func TestSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	on := func(server, sql string, args ...string) history.Statement {
+		return history.Statement{Server: server, SQL: sql, Args: args}
+	}
+	clean := []history.Statement{on("a", "INSERT x", "1"), on("a", "INSERT x", "2"), on("a", "SELECT x", "1"), on("b", "SELECT x", "1")}
+	g.Expect(history.CheckSentOnce(clean)).To(BeEmpty())
+	again := append(clean, on("b", "INSERT x", "1"))
+	g.Expect(rules(history.CheckSentOnce(again))).To(ConsistOf(history.RuleSentOnce))
+}
+
 func TestWholeness(t *testing.T) {
 	g := NewWithT(t)
 	value := history.Payload("k", "1", 100)
--- a/internal/e2e/history/mixing.go
+++ b/internal/e2e/history/mixing.go
@@ -72,6 +72,27 @@
 	return found
 }
 
+// CheckSentOnce checks that no server executed a write statement that another
+// execution, on any server, had run before: work that is not repeatable is sent
+// once, also where its first transaction is known to be rolled back. Every write
+// must have a unique value.
+func CheckSentOnce(statements []Statement) []Violation {
+	executed := map[string]int{}
+	var found []Violation
+	for _, st := range statements {
+		verb, _, _ := strings.Cut(strings.ToLower(st.SQL), " ")
+		if verb != "insert" && verb != "update" {
+			continue
+		}
+		id := st.SQL + "\x00" + strings.Join(st.Args, "\x00")
+		executed[id]++
+		if executed[id] == 2 {
+			found = append(found, Violation{RuleSentOnce, tagOf(st), fmt.Sprintf("a write ran again on %s connection %d", st.Server, st.Conn)})
+		}
+	}
+	return found
+}
+
 // Transaction is the set of rows that one commit wrote.
 type Transaction struct {
 	Database string
--- a/internal/e2e/workload/audit.go
+++ b/internal/e2e/workload/audit.go
@@ -20,6 +20,7 @@
 	found = append(found, history.CheckWrites(ops, ledger)...)
 	found = append(found, history.CheckReadYourWrites(ops, ledger)...)
 	found = append(found, history.CheckMixing(statements(g))...)
+	found = append(found, history.CheckSentOnce(statements(g))...)
 	return append(found, history.CheckWholeTransactions(transactions, w.Rows())...)
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -304,12 +304,13 @@
 	if s.wire.flushed != r.flushed || r.ctx.Err() != nil || s.wasCancelled() {
 		return "", false
 	}
+	mayRepeat := r.entry.Repeatable || r.entry.Access == catalogue.AccessRead
 	var notRun *outcome.NotRunError
 	if errors.As(err, &notRun) {
-		return notRun.Reason, true
+		return notRun.Reason, mayRepeat || !notRun.Sent
 	}
 	var unknown *outcome.UnknownError
-	if errors.As(err, &unknown) && (r.entry.Repeatable || r.entry.Access == catalogue.AccessRead) {
+	if errors.As(err, &unknown) && mayRepeat {
 		return outcome.ReasonConnLost, true
 	}
 	return "", false
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -247,6 +247,30 @@
 	f.Expect(runs.Load()).To(BeEquivalentTo(2))
 }
 
+// A write that is not repeatable is not sent again once a byte of it may have
+// left, even where its transaction is known to be rolled back; one that never
+// left is.
+func TestWriteThatWasSentIsNotSentAgain(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect("")
+	var runs atomic.Int64
+	sent := true
+	f.home.runError = func(_ txn.Request, b txn.Batch) error {
+		if !b.MayCommit || runs.Add(1) > 1 {
+			return nil
+		}
+		return &outcome.NotRunError{Reason: outcome.ReasonConnLost, Detail: "cut", Sent: sent}
+	}
+	_, err := conn.Exec(f.context(), "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	f.Expect(code(err)).To(Equal(outcome.CodeNotRun))
+	f.Expect(runs.Load()).To(BeEquivalentTo(1))
+	sent = false
+	runs.Store(0)
+	_, err = conn.Exec(f.context(), "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(runs.Load()).To(BeEquivalentTo(2))
+}
+
 func TestTransactionThatLosesItsLane(t *testing.T) {
 	f := newFixture(t)
 	conn := f.connect("")
--- a/internal/home/commit.go
+++ b/internal/home/commit.go
@@ -77,7 +77,7 @@
 	if x.wrapped {
 		if x.l.txStatus == 'T' && x.cancelled {
 			x.rollBackHidden()
-			return topology.Mark{}, notRun(outcome.ReasonStatementTime, "the deadline passed before the commit")
+			return topology.Mark{}, x.l.failed(outcome.ReasonStatementTime, "the deadline passed before the commit", nil, false)
 		}
 		if x.l.txStatus == 'E' {
 			x.rollBackHidden()
@@ -175,7 +175,7 @@
 	unknown := &outcome.UnknownError{Reason: reason, Detail: "the connection broke during the commit", Cause: cause}
 	switch x.l.s.lookUp(x.l.xid, x.l.request.Term) {
 	case xactAborted:
-		return &outcome.NotRunError{Reason: reason, Detail: "the connection broke and the server rolled the transaction back", Cause: cause}
+		return x.l.failed(reason, "the connection broke and the server rolled the transaction back", cause, false)
 	case xactCommitted:
 		return &committedError{unknown: unknown}
 	default:
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -30,6 +30,7 @@
 	askStatus  bool // a hidden status query follows the batch
 	wrapped    bool // the batch runs in a hidden transaction
 	sent       bool // a byte may have left
+	batchSent  bool // a byte of the batch itself may have left
 	received   bool // a byte of an answer came
 	commitSent bool // a commit may have been sent
 	cancelled  bool // the statement was cancelled at its deadline or by its caller
@@ -77,7 +78,10 @@
 	if err := x.prepare(buffer); err != nil {
 		return txn.Result{}, err
 	}
-	if err := x.send(*buffer); err != nil {
+	err := x.send(*buffer)
+	x.batchSent = x.sent
+	x.l.sent = x.l.sent || x.batchSent
+	if err != nil {
 		return txn.Result{}, x.broken(err)
 	}
 	if err := x.receive(); err != nil {
@@ -495,12 +499,15 @@
 }
 
 // mayRetry reports whether a broken batch may run again on another connection:
-// it was the transaction's first, the caller has seen nothing of it, and no commit
-// of it was sent or it may be repeated.
+// it was the transaction's first, the caller has seen nothing of it, and none of
+// it was sent or it may be repeated.
 func (x *exchange) mayRetry() bool {
 	if !x.l.first || x.answer.delivered || x.cancelled || !x.l.suspect {
 		return false
 	}
+	if x.batchSent && !x.l.mayRepeat() {
+		return false
+	}
 	return !x.commitSent || x.l.request.Repeatable && !x.received
 }
 
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -24,6 +24,7 @@
 	deadline time.Duration // of the first batch, on server.now
 	first    bool          // no batch has run yet
 	txStatus byte          // as of the last ReadyForQuery
+	sent     bool          // a byte of a batch may have left
 	unsynced bool          // a batch ended with Flush and no Sync came since
 	skipping bool          // the server ignores messages until a Sync
 	xid      uint64        // transaction's ID, when it was read
@@ -162,7 +163,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended != "" {
-		return notRun(l.ended, "the transaction has ended and was rolled back")
+		return l.failed(l.ended, "the transaction has ended and was rolled back", nil, false)
 	}
 	l.running = true
 	l.idle.Stop()
@@ -335,7 +336,12 @@
 	if mayHaveCommitted && l.request.Access == catalogue.AccessWrite {
 		return &outcome.UnknownError{Reason: reason, Detail: detail, Cause: cause}
 	}
-	return &outcome.NotRunError{Reason: reason, Detail: detail, Cause: cause}
+	return &outcome.NotRunError{Reason: reason, Detail: detail, Sent: l.sent, Cause: cause}
+}
+
+// mayRepeat reports whether the request may be sent again after bytes of it left.
+func (l *lane) mayRepeat() bool {
+	return l.request.Repeatable || l.request.Access == catalogue.AccessRead
 }
 
 // mark returns the position of a commit.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -55,7 +55,10 @@
 	Reason     Reason
 	Detail     string
 	RetryAfter time.Duration // zero: no hint
-	Cause      error
+	// Sent says that a statement may have reached a server, in a transaction that
+	// is known to be rolled back. The proxies send only repeatable work again then.
+	Sent  bool
+	Cause error
 }
 
 func (e *NotRunError) Error() string {
--- a/internal/peer/body.go
+++ b/internal/peer/body.go
@@ -44,6 +44,7 @@
 	Reason     outcome.Reason
 	Detail     string
 	RetryAfter time.Duration
+	Sent       bool
 }
 
 // EncodeError returns the wire form of an outcome error. An error of another
@@ -51,7 +52,7 @@
 func EncodeError(err error) WireError {
 	var notRun *outcome.NotRunError
 	if errors.As(err, &notRun) {
-		return WireError{Reason: notRun.Reason, Detail: notRun.Detail, RetryAfter: notRun.RetryAfter}
+		return WireError{Reason: notRun.Reason, Detail: notRun.Detail, RetryAfter: notRun.RetryAfter, Sent: notRun.Sent}
 	}
 	var unknown *outcome.UnknownError
 	if errors.As(err, &unknown) {
@@ -65,5 +66,5 @@
 	if w.Unknown {
 		return &outcome.UnknownError{Reason: w.Reason, Detail: w.Detail}
 	}
-	return &outcome.NotRunError{Reason: w.Reason, Detail: w.Detail, RetryAfter: w.RetryAfter}
+	return &outcome.NotRunError{Reason: w.Reason, Detail: w.Detail, RetryAfter: w.RetryAfter, Sent: w.Sent}
 }
--- a/internal/peer/clientlane.go
+++ b/internal/peer/clientlane.go
@@ -162,7 +162,7 @@
 	if l.commitSent {
 		return &outcome.UnknownError{Reason: outcome.ReasonHomeLost, Detail: detail, Cause: cause}
 	}
-	return &outcome.NotRunError{Reason: outcome.ReasonHomeLost, Detail: detail, Cause: cause}
+	return &outcome.NotRunError{Reason: outcome.ReasonHomeLost, Detail: detail, Sent: true, Cause: cause}
 }
 
 // sinkFailed ends a lane whose caller is gone.
