--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -33,14 +33,15 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"catalogue": catalogue.Run,
-	"control":   control.Run,
-	"drain":     drain.Run,
-	"flood":     flood.Run,
-	"outcomes":  outcomes.Run,
-	"path":      path.Run,
-	"reads":     reads.Run,
-	"restart":   restart.Run,
+	"catalogue":    catalogue.Run,
+	"control":      control.Run,
+	"drain":        drain.Run,
+	"flood":        flood.Run,
+	"flood-faults": flood.RunFaults,
+	"outcomes":     outcomes.Run,
+	"path":         path.Run,
+	"reads":        reads.Run,
+	"restart":      restart.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
