Record a statement as it starts

Change: the stand-in records at the start and completes the entry at the end; the test's signal guard stays registered. Conclusion: the record now means 'reached the server'.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -215,9 +215,9 @@
 
 func TestSecondSignalCutsTheDrain(t *testing.T) {
 	g := gomega.NewWithT(t)
+	// The guard stays until the process ends: a late signal would end the tests.
 	guard := make(chan os.Signal, 100)
 	signal.Notify(guard, syscall.SIGTERM)
-	defer signal.Stop(guard)
 	stop, result := serveOne(t, time.Minute)
 	stop()
 	var cut *proxy.DrainCutError
--- a/internal/standin/pgserver/execute.go
+++ b/internal/standin/pgserver/execute.go
@@ -81,9 +81,10 @@
 	}
 	c.server.stats.statements.Add(1)
 	c.startStatement()
+	event := c.recordStatement(st, args)
 	r, err := c.dispatch(st, args)
 	c.endStatement()
-	c.recordStatement(st, args, err)
+	c.recordEnd(event, err)
 	return r, err
 }
 
@@ -309,21 +310,33 @@
 	return r, nil
 }
 
-func (c *conn) recordStatement(st *statement, args []*string, err error) {
+// recordStatement records a statement as it starts; it returns nil when the
+// group does not record.
+func (c *conn) recordStatement(st *statement, args []*string) *StatementEvent {
 	if !c.server.group.recording.Load() {
-		return
-	}
-	e := StatementEvent{At: time.Now(), Server: c.server.spec.ID, Conn: c.pid, SQL: st.sql}
-	if c.txn != nil {
-		e.XID = c.txn.xid
+		return nil
 	}
+	e := &StatementEvent{At: time.Now(), Server: c.server.spec.ID, Conn: c.pid, SQL: st.sql}
 	for _, a := range args {
 		if a != nil {
 			e.Args = append(e.Args, *a)
 		}
 	}
+	c.server.group.record(e)
+	return e
+}
+
+// recordEnd completes the record of a statement.
+func (c *conn) recordEnd(e *StatementEvent, err error) {
+	if e == nil {
+		return
+	}
+	c.server.group.mu.Lock()
+	defer c.server.group.mu.Unlock()
+	if c.txn != nil {
+		e.XID = c.txn.xid
+	}
 	if failure, ok := err.(*sqlError); ok {
 		e.Code = failure.code
 	}
-	c.server.group.record(e)
 }
--- a/internal/standin/pgserver/group.go
+++ b/internal/standin/pgserver/group.go
@@ -38,7 +38,7 @@
 	servers   []*Server
 	rng       *rand.Rand
 	recording atomic.Bool
-	history   []StatementEvent
+	history   []*StatementEvent
 	commits   []*record      // every commit on any server, while recording
 	promoted  map[uint64]int // promotions by term
 }
--- a/internal/standin/pgserver/history.go
+++ b/internal/standin/pgserver/history.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// StatementEvent is one statement that a server executed.
+// StatementEvent is one statement that a server has started to execute.
 type StatementEvent struct {
 	At     time.Time
 	Server string
 	Conn   uint32
-	XID    uint64 // transaction ID after the statement; 0 without one
+	XID    uint64 // transaction ID after the statement; 0 without one, or before its end
 	SQL    string
 	Args   []string
 	Code   string // SQLSTATE of its error, or empty
@@ -40,7 +40,11 @@
 func (g *Group) History() []StatementEvent {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]StatementEvent(nil), g.history...)
+	all := make([]StatementEvent, 0, len(g.history))
+	for _, e := range g.history {
+		all = append(all, *e)
+	}
+	return all
 }
 
 // Seen returns the number of recorded statements whose text or arguments
@@ -57,7 +61,7 @@
 	return count
 }
 
-func (g *Group) record(e StatementEvent) {
+func (g *Group) record(e *StatementEvent) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.history = append(g.history, e)
--- a/internal/standin/pgserver/pgserver_test.go
+++ b/internal/standin/pgserver/pgserver_test.go
@@ -230,6 +230,7 @@
 	done := make(chan error, 1)
 	go func() { done <- exec(c, "SELECT pg_sleep(60)") }()
 	g.Eventually(func() int64 { return group.Primary().Stats().MaxConcurrent }, patience).Should(Equal(int64(1)))
+	g.Expect(group.Seen("pg_sleep")).To(Equal(1), "a statement is recorded as it starts")
 	g.Expect(c.PgConn().CancelRequest(t.Context())).To(Succeed())
 	var err error
 	g.Eventually(done, patience).Should(Receive(&err))
