--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -19,6 +19,7 @@
 	"egretroad/tools/measure/catalogue"
 	"egretroad/tools/measure/control"
 	"egretroad/tools/measure/drain"
+	"egretroad/tools/measure/failover"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
 	"egretroad/tools/measure/outcomes"
@@ -36,8 +37,10 @@
 	"catalogue":    catalogue.Run,
 	"control":      control.Run,
 	"drain":        drain.Run,
+	"failover":     failover.Run,
 	"flood":        flood.Run,
 	"flood-faults": flood.RunFaults,
+	"outage":       failover.RunOutage,
 	"outcomes":     outcomes.Run,
 	"path":         path.Run,
 	"reads":        reads.Run,
