--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -296,7 +296,7 @@
 		return reason == outcome.ReasonBehind || s.spendRetry()
 	case routing.WaitAndRetry:
 		r.excluded = r.excluded[:0]
-		return s.waitForRetry(r) && s.spendRetry()
+		return s.waitForTurn(r)
 	}
 	return false
 }
@@ -306,12 +306,13 @@
 	if s.wire.flushed != r.flushed || r.ctx.Err() != nil || s.wasCancelled() {
 		return "", false
 	}
+	mayRepeat := r.entry.Repeatable || r.entry.Access == catalogue.AccessRead
 	var notRun *outcome.NotRunError
 	if errors.As(err, &notRun) {
-		return notRun.Reason, true
+		return notRun.Reason, mayRepeat || !notRun.Sent
 	}
 	var unknown *outcome.UnknownError
-	if errors.As(err, &unknown) && (r.entry.Repeatable || r.entry.Access == catalogue.AccessRead) {
+	if errors.As(err, &unknown) && mayRepeat {
 		return outcome.ReasonConnLost, true
 	}
 	return "", false
@@ -332,6 +333,19 @@
 	return true
 }
 
+// waitForTurn waits until the request may be tried again, within its deadline.
+// An attempt that found no server to ask is repeated freely. While the retry
+// budget is empty the request goes on waiting: it has done nothing yet.
+func (s *session) waitForTurn(r *request) bool {
+	for s.waitForRetry(r) {
+		if r.server == "" || s.spendRetry() {
+			return true
+		}
+		r.changed = s.gateway.deps.Source.Changed()
+	}
+	return false
+}
+
 // rankDelay spreads the requests that wake at the same change: the less urgent
 // ones start later.
 const rankDelay = 20 * time.Millisecond
--- a/internal/home/receive.go
+++ b/internal/home/receive.go
@@ -110,8 +110,9 @@
 	x.answer.add(message)
 	x.answer.failed = true
 	var e *backend.ServerError
-	if errors.As(backend.DecodeError(message), &e) && staleStatement(e.Code) {
-		x.l.suspect = true
+	if errors.As(backend.DecodeError(message), &e) {
+		x.l.suspect = x.l.suspect || staleStatement(e.Code)
+		x.noteRefusal(e)
 	}
 	for len(x.expected) > 0 && x.expected[0].kind != answerReady {
 		x.expected = x.expected[1:]
