--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -164,3 +165,50 @@
 		}
 	})
 }
+
+// BenchmarkState reports the live memory of a machine that knows the whole
+// fleet, with the snapshot in force.
+func BenchmarkState(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		var before, after runtime.MemStats
+		machines := make([]*control.Machine, 0, b.N)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range b.N {
+			m, _, _ := benchMachine(b, size)
+			machines = append(machines, m)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "live-B/op")
+		runtime.KeepAlive(machines)
+	})
+}
+
+// BenchmarkRelay is the cost of a change from the watch, encoded once for the
+// other VMs of the data centre.
+func BenchmarkRelay(b *testing.B) {
+	forSizes(b, func(b *testing.B, size benchSize) {
+		m, _, now := benchMachine(b, size)
+		g := simGroup(0, size.dataCentres)
+		version := uint64(1 << 20)
+		notified := 0
+		for b.Loop() {
+			version++
+			now += 50 * time.Millisecond
+			g.Term = version
+			raw, err := json.Marshal(g)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Step(reducer.Tick{Now: now})
+			reply := platform.WatchReply{Revision: version, Objects: []platform.Object{{Kind: platform.KindGroup, Name: g.Database, Version: version, Value: raw}}}
+			for _, effect := range m.Step(control.ObjectsWatched{Since: version - 1, Reply: reply}) {
+				if n, isNotify := effect.(control.Notify); isNotify {
+					notified += len(n.To) * len(n.Body)
+				}
+			}
+		}
+		b.ReportMetric(float64(notified)/float64(b.N), "sent-B/op")
+	})
+}
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -42,6 +42,8 @@
 	sentBytes *expvar.Int
 	published *expvar.Int
 	alarms    *expvar.Int
+	revision  *expvar.Int // highest revision in the snapshot
+	vms       *expvar.Int // VMs thought to answer
 }
 
 func newExecutor(o Options, d Deps) *executor {
@@ -60,6 +62,8 @@
 		sentBytes: d.Metrics.Int("control", "message_bytes_sent"),
 		published: d.Metrics.Int("control", "snapshots_published"),
 		alarms:    d.Metrics.Int("control", "alarms"),
+		revision:  d.Metrics.Int("control", "revision"),
+		vms:       d.Metrics.Int("control", "vms"),
 	}
 }
 
@@ -127,6 +131,8 @@
 
 func (x *executor) publish(e control.Publish, post func(reducer.Event)) {
 	x.published.Add(1)
+	x.revision.Set(int64(e.Snapshot.Revision))
+	x.vms.Set(int64(len(e.Snapshot.VMs)))
 	x.publisher.Publish(e.Snapshot)
 	post(reducer.SnapshotPublished{Snapshot: e.Snapshot})
 	if e.Ready {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -67,7 +67,9 @@
 
 // inForceChanged updates what depends on an object.
 func (m *Machine) inForceChanged(key objectKey, o *object) {
-	m.log("object_in_force", "object", key.String(), "version", o.record.Version, "from", o.from)
+	if m.Ready() {
+		m.log("object_in_force", "object", key.String(), "version", o.inForce, "deleted", o.record.Deleted, "from", o.from)
+	}
 	if key.kind == kindVMs && o.vms != nil {
 		m.members.applyList(o.vms.VMs, m.now)
 		m.refuteList()
