--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -123,6 +123,7 @@
 func (m *Machine) start() {
 	m.started = true
 	m.timers.reset(m.now)
+	m.sync.notice = m.now - m.opts.WaitingNotice + firstNotice
 	vm := m.cfg.Self
 	m.members.merge(Record{ID: vm.ID, Incarnation: m.self.incarnation, VM: &vm}, "this VM", m.now)
 	m.snapshot.seed(m.cfg.Self, m.cfg.Seeds)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -11,6 +11,10 @@
 	"egretroad/internal/reducer"
 )
 
+// firstNotice is the time after the start at which a VM first says that it waits
+// for the catalogue.
+const firstNotice = 2 * time.Second
+
 // goodInterval is the time between requests for the last valid value of an
 // object that has none in force.
 const goodInterval = 5 * time.Second
