--- a/tools/measure/catalogue/readers.go
+++ b/tools/measure/catalogue/readers.go
@@ -7,21 +7,29 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"egretroad/internal/standin/deployment"
 	"egretroad/tools/measure/fleet"
 )
 
 const (
 	readersPerProxy = 2
 	readPause       = 5 * time.Millisecond
-	readKind        = "stock"
 )
 
+// readKind returns a kind of work that reads its own writes.
+func readKind(name string) string {
+	if name == deployment.CabraRonda {
+		return "routes"
+	}
+	return "stock"
+}
+
 // startReaders reads from a database through every proxy until ctx ends.
 func startReaders(ctx context.Context, f *fleet.Fleet, database string) *sync.WaitGroup {
 	var readers sync.WaitGroup
 	for _, p := range f.Proxies {
 		for range readersPerProxy {
-			readers.Go(func() { readAll(ctx, p.DSN(database, readKind)) })
+			readers.Go(func() { readAll(ctx, p.DSN(database, readKind(f.Name))) })
 		}
 	}
 	return &readers
