--- a/tools/measure/restart/restart.go
+++ b/tools/measure/restart/restart.go
@@ -22,6 +22,7 @@
 	stopLimitMS   = 2000
 	callersEach   = 2 // per database and kind
 	warmUp        = 2 * time.Second
+	downTime      = 2 * time.Second        // until the VM's replacement starts
 	pauseAfter    = 500 * time.Millisecond // between one replacement and the next
 	operationWait = 4 * time.Second        // a caller gives an operation up
 	callerPause   = 5 * time.Millisecond
@@ -81,6 +82,7 @@
 	for i, p := range l.fleet.Proxies {
 		l.running[i].Store(false)
 		p.Kill()
+		time.Sleep(downTime)
 		if err := p.Start(ctx); err != nil {
 			return nil, err
 		}
