--- a/tools/measure/control/control.go
+++ b/tools/measure/control/control.go
@@ -88,24 +88,36 @@
 
 // figure is one column of usage with its bound at the target's size.
 type figure struct {
-	name  string
-	of    func(usage) float64
-	fleet bool    // of the whole fleet, not of a node
+	name string
+	of   func(usage) float64
+	scale
 	limit float64 // 0: none
 }
 
+// scale says how a figure grows.
+type scale struct {
+	fleet   bool // a figure of the whole fleet, not of a node
+	byFleet bool // each node's use grows with the number of nodes
+}
+
+var (
+	ofNode       = scale{}
+	ofFleet      = scale{fleet: true}
+	growsByFleet = scale{byFleet: true}
+)
+
 var figures = []figure{
-	{"cpu_percent", func(u usage) float64 { return u.cpuPercent }, false, targetCPUPercent},
-	{"memory_mb", func(u usage) float64 { return u.memoryMB }, false, targetMemoryMB},
-	{"control_bytes_per_s", func(u usage) float64 { return u.control }, false, targetBytes},
-	{"peer_bytes_per_s", func(u usage) float64 { return u.peerBytes }, false, 0},
-	{"all_socket_bytes_per_s", func(u usage) float64 { return u.bytes }, false, 0},
-	{"message_bytes_per_s", func(u usage) float64 { return u.messageBytes }, false, 0},
-	{"messages_per_s", func(u usage) float64 { return u.messages }, false, 0},
-	{"store_bytes_per_s", func(u usage) float64 { return u.storeBytes }, false, 0},
-	{"store_reads_per_s", func(u usage) float64 { return u.reads }, true, targetReads},
-	{"store_watches_per_s", func(u usage) float64 { return u.watches }, true, 0},
-	{"store_writes_per_s", func(u usage) float64 { return u.writes }, true, targetWrites},
+	{"cpu_percent", func(u usage) float64 { return u.cpuPercent }, ofNode, targetCPUPercent},
+	{"memory_mb", func(u usage) float64 { return u.memoryMB }, growsByFleet, targetMemoryMB},
+	{"control_bytes_per_s", func(u usage) float64 { return u.control }, ofNode, targetBytes},
+	{"peer_bytes_per_s", func(u usage) float64 { return u.peerBytes }, ofNode, 0},
+	{"all_socket_bytes_per_s", func(u usage) float64 { return u.bytes }, ofNode, 0},
+	{"message_bytes_per_s", func(u usage) float64 { return u.messageBytes }, ofNode, 0},
+	{"messages_per_s", func(u usage) float64 { return u.messages }, ofNode, 0},
+	{"store_bytes_per_s", func(u usage) float64 { return u.storeBytes }, ofNode, 0},
+	{"store_reads_per_s", func(u usage) float64 { return u.reads }, ofFleet, targetReads},
+	{"store_watches_per_s", func(u usage) float64 { return u.watches }, ofFleet, 0},
+	{"store_writes_per_s", func(u usage) float64 { return u.writes }, ofFleet, targetWrites},
 }
 
 // fleetSize says what was measured.
@@ -137,17 +149,21 @@
 
 // extrapolate fits the fleet's total to a part per node and a fixed part. The
 // fixed part of a node's use grows with the servers, that of the store's calls
-// with the data centres.
+// with the data centres. Memory is fitted as the use of one node by the number of
+// nodes.
 func (s fleetSize) extrapolate(r *report.Report, f figure, measured []usage) float64 {
 	totals := make([]float64, len(measured))
 	for i, u := range measured {
 		totals[i] = f.of(u)
-		if !f.fleet {
+		if !f.fleet && !f.byFleet {
 			totals[i] *= float64(s.sizes[i])
 		}
 	}
 	slope, fixed := fit(s.sizes, totals)
 	r.Set("per_node_"+f.name, slope)
+	if f.byFleet {
+		return fixed + slope*targetNodes
+	}
 	if f.fleet {
 		perDataCentre := fixed / float64(s.dataCentres)
 		r.Set("per_data_centre_"+f.name, perDataCentre)
