--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 	settings config.Settings
 	serving  atomic.Bool
 	killed   atomic.Bool
+	cut      atomic.Bool // the drain's time ended with requests in progress
 }
 
 // parts are the components that the lifecycle starts and stops.
@@ -100,11 +101,15 @@
 // Kill ends the proxy at once, without a drain or a farewell, as a dead VM does.
 func (p *Proxy) Kill() {
 	p.killed.Store(true)
-	p.parts.Node.Stop()
-	p.parts.Gateway.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = p.app.Stop(ctx) // a killed proxy reports nothing
+	c := &p.parts
+	c.Node.Stop()
+	c.Gateway.Close()
+	_ = c.Control.Stop(ctx) // a killed proxy reports nothing
+	c.Homes.Stop(ctx)
+	_ = c.Operator.Stop(ctx) // as above
+	c.Listeners.close()
 }
 
 // Ready reports whether the proxy serves callers.
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -19,6 +19,7 @@
 	"egretroad/tools/measure/catalogue"
 	"egretroad/tools/measure/control"
 	"egretroad/tools/measure/drain"
+	"egretroad/tools/measure/failover"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/flood"
 	"egretroad/tools/measure/outcomes"
@@ -33,14 +34,17 @@
 
 // measurements lists every measurement by name.
 var measurements = map[string]report.Func{
-	"catalogue": catalogue.Run,
-	"control":   control.Run,
-	"drain":     drain.Run,
-	"flood":     flood.Run,
-	"outcomes":  outcomes.Run,
-	"path":      path.Run,
-	"reads":     reads.Run,
-	"restart":   restart.Run,
+	"catalogue":    catalogue.Run,
+	"control":      control.Run,
+	"drain":        drain.Run,
+	"failover":     failover.Run,
+	"flood":        flood.Run,
+	"flood-faults": flood.RunFaults,
+	"outage":       failover.RunOutage,
+	"outcomes":     outcomes.Run,
+	"path":         path.Run,
+	"reads":        reads.Run,
+	"restart":      restart.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
