--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -11,6 +11,10 @@
 	"egretroad/internal/reducer"
 )
 
+// firstNotice is the time after the start at which a VM first says that it waits
+// for the catalogue.
+const firstNotice = 2 * time.Second
+
 // goodInterval is the time between requests for the last valid value of an
 // object that has none in force.
 const goodInterval = 5 * time.Second
@@ -67,7 +71,9 @@
 
 // inForceChanged updates what depends on an object.
 func (m *Machine) inForceChanged(key objectKey, o *object) {
-	m.log("object_in_force", "object", key.String(), "version", o.record.Version, "from", o.from)
+	if m.Ready() {
+		m.log("object_in_force", "object", key.String(), "version", o.inForce, "deleted", o.record.Deleted, "from", o.from)
+	}
 	if key.kind == kindVMs && o.vms != nil {
 		m.members.applyList(o.vms.VMs, m.now)
 		m.refuteList()
