List the writes that fail on connections a lost primary closed

Cause: work that is not repeatable is now sent once, also after a known rollback. In measure failover, writes that the fault caught under way, and writes sent on idle connections that the server had closed, come back as not run with deadline left. Change: the measurement counts writes that began before the fault and ended as not run in a figure of their own, since the rule forbids to send them again; all later ones count as before, and the bound stays 0. The home marks work that a replaced primary refused as sent.

--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -249,7 +249,7 @@
 			return txn.Result{}, err
 		}
 		if x.replaced() {
-			return txn.Result{}, notRun(outcome.ReasonReplaced, "server "+x.l.s.id+" no longer takes writes of the term")
+			return txn.Result{}, x.replacedError()
 		}
 		result.TxStatus = x.l.txStatus
 		result.Failed = x.answer.failed
--- a/internal/home/replaced.go
+++ b/internal/home/replaced.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"egretroad/internal/backend"
+	"egretroad/internal/outcome"
 	"egretroad/internal/topology"
 )
 
@@ -32,3 +33,12 @@
 	status, err := x.l.s.status.wait(ctx, nil)
 	return err == nil && (status.Role != topology.RolePrimary || status.Term != x.l.request.Term)
 }
+
+// replacedError reports work that a replaced primary refused. Its bytes have
+// left, so work that is not repeatable goes back to the caller.
+func (x *exchange) replacedError() error {
+	return &outcome.NotRunError{
+		Reason: outcome.ReasonReplaced, Sent: true,
+		Detail: "server " + x.l.s.id + " no longer takes writes of the term",
+	}
+}
--- a/tools/measure/failover/causes.go
+++ b/tools/measure/failover/causes.go
@@ -117,6 +117,7 @@
 	}
 	sleep(ctx, settleTime)
 	from := time.Now()
+	w.faultAt(from)
 	inject(f, primary, x)
 	seconds := waitRecovery(ctx, f, w, before, from).Seconds()
 	w.stop()
--- a/tools/measure/failover/failover.go
+++ b/tools/measure/failover/failover.go
@@ -49,6 +49,7 @@
 	mu       sync.Mutex // guards the fields below
 	gaps     map[string][]float64
 	failed   int // writes that failed with deadline left
+	caught   int // writes under way at a fault, reported as not run
 	unknown  int // writes in flight at a fault, with an unknown outcome
 	acked    int
 	wrong    int // promotions of servers that are slow but alive
@@ -75,6 +76,7 @@
 	r.acked += acked
 	r.failed += failed
 	r.unknown += unknown
+	r.caught += w.caught
 }
 
 // part is one fleet's share of the measurement.
@@ -173,6 +175,7 @@
 	out.Exactly("writes_failed_with_deadline_left", float64(r.failed), 0)
 	out.Set("writes_acknowledged", float64(r.acked))
 	out.Set("writes_unknown", float64(r.unknown))
+	out.Set("writes_under_way_not_run", float64(r.caught))
 	out.Exactly("writes_lost_confirm_replica", float64(r.lost), 0)
 	out.Set("writes_acknowledged_confirm_any", float64(r.leased))
 	out.Set("writes_lost_confirm_any", float64(r.lostOnes))
--- a/tools/measure/failover/writers.go
+++ b/tools/measure/failover/writers.go
@@ -37,6 +37,8 @@
 	keys    []string // acknowledged
 	failed  int
 	unknown int
+	fault   time.Time      // zero: none yet
+	caught  int            // writes under way at the fault that were reported as not run
 	reasons map[string]int // failed writes by error
 }
 
@@ -143,12 +145,25 @@
 		w.unknown++
 		return
 	}
+	// A write that is not repeatable is never sent twice: one that the fault
+	// caught under way and that was rolled back is left to its caller.
+	if began.Before(w.fault) && errors.As(err, &refused) && refused.Code == outcome.CodeNotRun {
+		w.caught++
+		return
+	}
 	if now.Sub(began) < writeDeadline {
 		w.failed++
 		w.reasons[err.Error()]++
 	}
 }
 
+// faultAt tells the writers when the fault begins.
+func (w *writers) faultAt(t time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = t
+}
+
 func (w *writers) stop() {
 	w.cancel()
 	w.done.Wait()
