Send a plain BEGIN with the transaction's first batch

Cause: BEGIN was a batch of its own: a round trip to the server's home and a turn in its queue. Change: txn.Batch.Begin names one of two constant statements that the home writes ahead of the messages; BEGIN with modes stays a batch of its own.

--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -9,6 +9,9 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	_ "github.com/lib/pq"
 	. "github.com/onsi/gomega"
+
+	"egretroad/internal/catalogue"
+	"egretroad/internal/txn"
 )
 
 func code(err error) string {
@@ -49,6 +52,9 @@
 	f.Expect(f.home.requests()).To(BeEmpty(), "BEGIN alone opens no lane")
 	_, err = tx.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "a", "1")
 	f.Expect(err).NotTo(HaveOccurred())
+	f.home.mu.Lock()
+	f.Expect(f.home.batches[0].Begin).To(Equal(txn.BeginReadWrite), "BEGIN travels with the first batch")
+	f.home.mu.Unlock()
 	_, err = tx.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "a", "2")
 	f.Expect(code(err)).To(Equal("23505"))
 	_, err = tx.Exec(ctx, "SELECT value FROM kv WHERE key = 'a'")
@@ -153,3 +159,14 @@
 		}
 	}, "10s").Should(Equal("57014"))
 }
+
+func TestPlainBegin(t *testing.T) {
+	g := NewWithT(t)
+	for sql, want := range map[string]txn.Begin{
+		"BEGIN": txn.BeginReadWrite, "begin work": txn.BeginReadWrite, "START TRANSACTION": txn.BeginReadWrite,
+		"BEGIN READ ONLY": txn.BeginNone, "BEGIN ISOLATION LEVEL SERIALIZABLE": txn.BeginNone, "": txn.BeginNone,
+	} {
+		g.Expect(plainBegin(sql, catalogue.AccessWrite)).To(Equal(want), sql)
+	}
+	g.Expect(plainBegin("BEGIN", catalogue.AccessRead)).To(Equal(txn.BeginReadOnly))
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -110,7 +110,9 @@
 	if err := s.open(r); err != nil {
 		return txn.Result{}, err
 	}
-	if s.begin != "" {
+	if begin := plainBegin(s.begin, r.entry.Access); begin != txn.BeginNone {
+		b.Begin = begin
+	} else if s.begin != "" {
 		result, err := s.runBegin(r)
 		if err != nil || result.Failed {
 			return result, err
@@ -139,10 +141,26 @@
 	return result, nil
 }
 
-// runBegin sends the BEGIN that was answered before a server saw it. A server's
-// error to it becomes the answer of the statement.
+// plainBegin returns the form of a BEGIN without modes, which can go with the
+// transaction's first batch. A kind of work that reads gets READ ONLY.
+func plainBegin(sql string, access catalogue.Access) txn.Begin {
+	word, rest := keyword(sql)
+	if second, after := keyword(rest); second == "TRANSACTION" || second == "WORK" {
+		rest = after
+	}
+	switch {
+	case word == "" || skipSpace(rest) != "":
+		return txn.BeginNone
+	case access == catalogue.AccessRead:
+		return txn.BeginReadOnly
+	}
+	return txn.BeginReadWrite
+}
+
+// runBegin sends a BEGIN with modes, which was answered before a server saw it.
+// A server's error to it becomes the answer of the statement.
 func (s *session) runBegin(r *request) (txn.Result, error) {
-	messages, err := (&pgproto3.Query{String: beginSQL(s.begin, r.entry.Access)}).Encode(nil)
+	messages, err := (&pgproto3.Query{String: s.begin}).Encode(nil)
 	if err != nil {
 		return txn.Result{}, &callerError{Code: codeProtocol, Message: "protocol error: " + err.Error()}
 	}
@@ -157,22 +175,6 @@
 	return result, err
 }
 
-// beginSQL adds READ ONLY to a plain BEGIN under a kind of work that reads.
-func beginSQL(sql string, access catalogue.Access) string {
-	if access != catalogue.AccessRead {
-		return sql
-	}
-	_, rest := keyword(sql)
-	word, after := keyword(rest)
-	if word == "TRANSACTION" || word == "WORK" {
-		rest = after
-	}
-	if skipSpace(rest) != "" {
-		return sql
-	}
-	return "BEGIN READ ONLY"
-}
-
 // deliver is the sink of answers to the caller.
 func (s *session) deliver(messages []byte) error {
 	if err := s.wire.sendBytes(messages); err != nil {
--- a/internal/gateway/fakehome_test.go
+++ b/internal/gateway/fakehome_test.go
@@ -107,7 +107,7 @@
 	}
 	h := l.home
 	h.mu.Lock()
-	h.batches = append(h.batches, txn.Batch{Messages: bytes.Clone(b.Messages), Statements: b.Statements, Flush: b.Flush, MayCommit: b.MayCommit})
+	h.batches = append(h.batches, txn.Batch{Messages: bytes.Clone(b.Messages), Statements: b.Statements, Begin: b.Begin, Flush: b.Flush, MayCommit: b.MayCommit})
 	gate, runError := h.gate, h.runError
 	h.mu.Unlock()
 	if runError != nil {
@@ -128,6 +128,10 @@
 		l.known[s.Name] = s.SQL
 	}
 	a := &answer{lane: l}
+	if b.Begin != txn.BeginNone {
+		a.execute(string(b.Begin), nil, true)
+		a.out = nil
+	}
 	a.interpret(b.Messages)
 	if err := sink(a.out); err != nil {
 		l.Close()
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -118,7 +118,15 @@
 	if err := x.applySettings(&out); err != nil {
 		return err
 	}
-	if x.askStatus && l.s.options.Settle && !l.request.Repeatable {
+	switch x.b.Begin {
+	case txn.BeginReadWrite, txn.BeginReadOnly:
+		out = backend.AppendQuery(out, string(x.b.Begin))
+		x.answer.prefixes++
+	case txn.BeginNone:
+	default:
+		return &outcome.NotRunError{Reason: outcome.ReasonUnavailable, Detail: "unknown form of BEGIN"}
+	}
+	if x.askStatus && x.b.Begin == txn.BeginNone && l.s.options.Settle && !l.request.Repeatable {
 		if err := x.prepareSettlement(&out); err != nil {
 			return err
 		}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -161,6 +161,7 @@
 	}
 	w.bool(b.Flush)
 	w.bool(b.MayCommit)
+	w.text(string(b.Begin))
 }
 
 func (r *reader) batch() txn.Batch {
@@ -174,6 +175,7 @@
 	}
 	b.Flush = r.bool()
 	b.MayCommit = r.bool()
+	b.Begin = txn.Begin(r.text())
 	return b
 }
 
--- a/internal/txn/txn.go
+++ b/internal/txn/txn.go
@@ -62,6 +62,9 @@
 	// Statements lists the prepared statements that Messages uses and that an
 	// earlier batch of the session prepared.
 	Statements []Statement
+	// Begin, when set, opens the transaction on the server ahead of Messages,
+	// in the same write; the lane must be new. Its answer is not delivered.
+	Begin Begin
 	// Flush says that Messages ends with Flush; the lane stays open.
 	Flush bool
 	// MayCommit says that the batch can commit: a statement outside a
@@ -70,6 +73,16 @@
 	MayCommit bool
 }
 
+// Begin is a statement that opens a transaction.
+type Begin string
+
+// Statements that open a transaction.
+const (
+	BeginNone      Begin = ""
+	BeginReadWrite Begin = "BEGIN"
+	BeginReadOnly  Begin = "BEGIN READ ONLY"
+)
+
 // Result is the end of a batch.
 type Result struct {
 	TxStatus byte // 'I', 'T' or 'E' as in ReadyForQuery; 0 after a Flush
