--- a/internal/home/commit.go
+++ b/internal/home/commit.go
@@ -64,6 +64,8 @@
 	if err != nil && !errors.As(err, &refused) {
 		return err
 	}
+	// A server that assigns no transaction ID takes no writes.
+	x.readOnly = x.readOnly || err != nil
 	if len(row) == 1 {
 		x.l.xid, _ = strconv.ParseUint(row[0], 10, 64)
 	}
@@ -77,7 +79,7 @@
 	if x.wrapped {
 		if x.l.txStatus == 'T' && x.cancelled {
 			x.rollBackHidden()
-			return topology.Mark{}, notRun(outcome.ReasonStatementTime, "the deadline passed before the commit")
+			return topology.Mark{}, x.l.failed(outcome.ReasonStatementTime, "the deadline passed before the commit", nil, false)
 		}
 		if x.l.txStatus == 'E' {
 			x.rollBackHidden()
@@ -145,6 +147,10 @@
 		switch kind {
 		case 'E':
 			x.answer.replaceCompletion(message)
+			var e *backend.ServerError
+			if errors.As(backend.DecodeError(message), &e) {
+				x.noteRefusal(e)
+			}
 		case 'Z':
 			x.l.txStatus = message[messageHeaderBytes]
 			return nil
@@ -175,7 +181,7 @@
 	unknown := &outcome.UnknownError{Reason: reason, Detail: "the connection broke during the commit", Cause: cause}
 	switch x.l.s.lookUp(x.l.xid, x.l.request.Term) {
 	case xactAborted:
-		return &outcome.NotRunError{Reason: reason, Detail: "the connection broke and the server rolled the transaction back", Cause: cause}
+		return x.l.failed(reason, "the connection broke and the server rolled the transaction back", cause, false)
 	case xactCommitted:
 		return &committedError{unknown: unknown}
 	default:
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -30,8 +30,10 @@
 	askStatus  bool // a hidden status query follows the batch
 	wrapped    bool // the batch runs in a hidden transaction
 	sent       bool // a byte may have left
+	batchSent  bool // a byte of the batch itself may have left
 	received   bool // a byte of an answer came
 	commitSent bool // a commit may have been sent
+	readOnly   bool // the server refused the work as one without the role would
 	cancelled  bool // the statement was cancelled at its deadline or by its caller
 	detach     func() bool
 	detached   chan struct{}
@@ -77,7 +79,10 @@
 	if err := x.prepare(buffer); err != nil {
 		return txn.Result{}, err
 	}
-	if err := x.send(*buffer); err != nil {
+	err := x.send(*buffer)
+	x.batchSent = x.sent
+	x.l.sent = x.l.sent || x.batchSent
+	if err != nil {
 		return txn.Result{}, x.broken(err)
 	}
 	if err := x.receive(); err != nil {
@@ -343,8 +348,9 @@
 	x.answer.add(message)
 	x.answer.failed = true
 	var e *backend.ServerError
-	if errors.As(backend.DecodeError(message), &e) && staleStatement(e.Code) {
-		x.l.suspect = true
+	if errors.As(backend.DecodeError(message), &e) {
+		x.l.suspect = x.l.suspect || staleStatement(e.Code)
+		x.noteRefusal(e)
 	}
 	for len(x.expected) > 0 && x.expected[0].kind != answerReady {
 		x.expected = x.expected[1:]
@@ -428,6 +434,9 @@
 		if err != nil {
 			return txn.Result{}, err
 		}
+		if x.replaced() {
+			return txn.Result{}, notRun(outcome.ReasonReplaced, "server "+x.l.s.id+" no longer takes writes of the term")
+		}
 		result.TxStatus = x.l.txStatus
 		result.Failed = x.answer.failed
 		result.Mark = mark
@@ -503,12 +512,15 @@
 }
 
 // mayRetry reports whether a broken batch may run again on another connection:
-// it was the transaction's first, the caller has seen nothing of it, and no commit
-// of it was sent or it may be repeated.
+// it was the transaction's first, the caller has seen nothing of it, and none of
+// it was sent or it may be repeated.
 func (x *exchange) mayRetry() bool {
 	if !x.l.first || x.answer.delivered || x.cancelled || !x.l.suspect {
 		return false
 	}
+	if x.batchSent && !x.l.mayRepeat() {
+		return false
+	}
 	return !x.commitSent || x.l.request.Repeatable && !x.received
 }
 
