--- a/internal/e2e/history_test.go
+++ b/internal/e2e/history_test.go
@@ -89,6 +89,26 @@
 	"cut data centre": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
 		return f.Fault(deployment.ActionCut, group.Primary().Spec().DataCentre)
 	},
+	"two primaries stopped in turn": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		first := group.Primary()
+		first.Stop()
+		time.Sleep(failoverLength / 2)
+		if err := first.Restart(); err != nil {
+			return err
+		}
+		time.Sleep(failoverLength / 7)
+		group.Primary().Stop()
+		return nil
+	},
+	"primary stopped in an outage of the platform": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
+		f.Platform.OutageWith(objectapi.OutageHang)
+		time.Sleep(failoverLength / 7)
+		group.Primary().Stop()
+		time.Sleep(failoverLength / 7)
+		f.Platform.Outage(false)
+		f.Platform.LoseAnswers(3, objectapi.CallPut)
+		return nil
+	},
 	// The only VM of the primary's data centre dies; the server goes on.
 	"dead VM of the primary": func(f *fleet, group *pgserver.Group, _ *rand.Rand) error {
 		for i, vm := range f.VMs {
