Let the home decide at the deadline, and bound drains

Cause: the gateway gave up on a home at the very deadline that it had passed on, so a write that the home refused in its queue could be reported as unknown; and a transaction that was open but idle kept a drain from ending. Change: the home has two seconds past the deadline to say how a request ended; retries still end at the deadline. In a drain an idle transaction is rolled back after the kind's idle time, and one that no server has seen ends at once. TestDrainDeadline now holds a transaction that a server has seen, as a bare BEGIN no longer keeps the proxy.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -21,6 +21,7 @@
 	entry    catalogue.Entry
 	ctx      context.Context
 	began    time.Time
+	deadline time.Time
 	pending  int   // bytes of earlier answers that are not sent yet
 	flushed  int64 // bytes sent to the caller before the request
 	excluded []string
@@ -54,13 +55,16 @@
 	return result, nil
 }
 
-// startRequest sets the deadline and makes the request cancellable.
+// startRequest sets the deadline and makes the request cancellable. The home
+// ends the request at the deadline and knows how it ended; the gateway gives up
+// on the home itself only some time later, as that leaves a write unknown.
 func (s *session) startRequest(r *request) {
 	deadline := r.entry.Deadline.Duration()
 	if deadline <= 0 {
 		deadline = s.gateway.options.DefaultDeadline
 	}
-	ctx, cancel := context.WithDeadline(s.gateway.context, r.began.Add(deadline))
+	r.deadline = r.began.Add(deadline)
+	ctx, cancel := context.WithDeadline(s.gateway.context, r.deadline.Add(s.gateway.options.HomeGrace))
 	r.ctx = ctx
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,14 +236,13 @@
 
 func (s *session) laneRequest(r *request, d routing.Decision) txn.Request {
 	s.requests++
-	deadline, _ := r.ctx.Deadline()
 	return txn.Request{
 		ID:       s.id + strconv.FormatUint(s.requests, 36),
 		Database: s.database, Server: d.Server.ID, Term: d.Term,
 		Entry: r.entry.Name, Kind: r.entry.Kind, Owner: r.entry.Owner, Caller: s.caller,
 		Rank: r.entry.Rank, Access: r.entry.Access, Confirm: r.entry.Confirm, Repeatable: r.entry.Repeatable,
 		Mark: s.mark, MarkWait: d.MarkWait, MaxAge: r.entry.MaxAge.Duration(),
-		Timeout: time.Until(deadline), IdleInTxn: r.entry.IdleInTxn.Duration(), Settings: s.settings,
+		Timeout: time.Until(r.deadline), IdleInTxn: r.entry.IdleInTxn.Duration(), Settings: s.settings,
 	}
 }
 
@@ -305,7 +308,7 @@
 
 // retryReason returns why the attempt failed, if it may be repeated at all.
 func (s *session) retryReason(r *request, err error) (outcome.Reason, bool) {
-	if s.wire.flushed != r.flushed || r.ctx.Err() != nil || s.wasCancelled() {
+	if s.wire.flushed != r.flushed || r.ctx.Err() != nil || !time.Now().Before(r.deadline) || s.wasCancelled() {
 		return "", false
 	}
 	mayRepeat := r.entry.Repeatable || r.entry.Access == catalogue.AccessRead
@@ -361,8 +364,8 @@
 	}
 	defer g.leaveWait()
 	r.backoff = min(max(2*r.backoff, g.options.MinRetryBackoff), g.options.MaxRetryBackoff)
-	pause := r.backoff/2 + rand.N(r.backoff)
-	if !sleep(r.ctx, r.changed, pause) {
+	pause := min(r.backoff/2+rand.N(r.backoff), time.Until(r.deadline))
+	if !sleep(r.ctx, r.changed, pause) || !time.Now().Before(r.deadline) {
 		return false
 	}
 	behind := int64(r.entry.Rank - catalogue.RankOrders)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -35,6 +35,8 @@
 	WriteTimeout      time.Duration // for a caller to take bytes of its answer
 	CloseLinger       time.Duration // for a caller to read a last error
 	DefaultDeadline   time.Duration // of entries that name none
+	HomeGrace         time.Duration // past a deadline, for the home to say how the request ended
+	DefaultIdleInTxn  time.Duration // in a drain, of entries that name none
 	ServerVersion     string        // told to callers at startup
 	SCRAMIterations   int
 	MinRetryBackoff   time.Duration
@@ -60,6 +62,8 @@
 		WriteTimeout:      60 * time.Second,
 		CloseLinger:       time.Second,
 		DefaultDeadline:   30 * time.Second,
+		HomeGrace:         2 * time.Second,
+		DefaultIdleInTxn:  10 * time.Second,
 		ServerVersion:     "16.4",
 		SCRAMIterations:   4096,
 		MinRetryBackoff:   5 * time.Millisecond,
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -62,6 +62,8 @@
 	entryTxn catalogue.Entry
 	server   string // that served the last request
 
+	drainUntil time.Time // end of an idle open transaction in a drain; zero: none
+
 	mark      topology.Mark
 	markTime  time.Duration // when mark was learned
 	markKnown bool          // mark covers every earlier write of the caller
@@ -113,18 +115,41 @@
 		}
 		err := s.wire.wait()
 		if err == nil {
+			s.unboundDrain()
 			return nil
 		}
 		if !isTimeout(err) || !s.gateway.draining.Load() {
 			return err
 		}
+		if !s.drainUntil.IsZero() && !time.Now().Before(s.drainUntil) {
+			return errDraining // the transaction was idle for too long
+		}
+		s.boundDrain()
+	}
+}
+
+// boundDrain bounds the time that an open transaction may be idle in a drain.
+func (s *session) boundDrain() {
+	limit := s.entryTxn.IdleInTxn.Duration()
+	if limit <= 0 {
+		limit = s.gateway.options.DefaultIdleInTxn
+	}
+	s.drainUntil = time.Now().Add(limit)
+	_ = s.wire.conn.SetReadDeadline(s.drainUntil)
+}
+
+// unboundDrain removes the bound once the caller has sent something.
+func (s *session) unboundDrain() {
+	if !s.drainUntil.IsZero() {
+		s.drainUntil = time.Time{}
 		_ = s.wire.conn.SetReadDeadline(time.Time{})
 	}
 }
 
-// idle reports whether nothing of the session is in progress.
+// idle reports whether nothing of the session is in progress. A transaction
+// that no server has seen counts as nothing.
 func (s *session) idle() bool {
-	return s.tx == txIdle && s.lane == nil && !s.skipping && s.batch.empty()
+	return s.lane == nil && !s.skipping && s.batch.empty()
 }
 
 // finish reports the error that ends the session, if the caller can read it.
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -366,7 +366,9 @@
 func TestDrainDeadline(t *testing.T) {
 	f := newFixture(t)
 	open := f.connect("")
-	_, err := open.Exec(f.context(), "BEGIN")
+	tx, err := open.Begin(f.context())
+	f.Expect(err).NotTo(HaveOccurred())
+	_, err = tx.Exec(f.context(), "INSERT INTO kv (key, value) VALUES ('a', '1')")
 	f.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
@@ -376,6 +378,39 @@
 	f.Expect(err.(*DrainError).Sessions).To(Equal(1))
 }
 
+func TestDrainEndsTransactionsThatNoServerHasSeen(t *testing.T) {
+	f := newFixture(t)
+	open := f.connect("")
+	_, err := open.Exec(f.context(), "BEGIN")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(f.gateway.Drain(f.context())).To(Succeed())
+}
+
+func TestDrainEndsIdleTransactions(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.DefaultIdleInTxn = 50 * time.Millisecond })
+	open := f.connect("")
+	tx, err := open.Begin(f.context())
+	f.Expect(err).NotTo(HaveOccurred())
+	_, err = tx.Exec(f.context(), "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(f.gateway.Drain(f.context())).To(Succeed())
+	f.Expect(f.home.live.Load()).To(BeZero(), "the transaction is rolled back")
+}
+
+// TestHomeDecidesAtTheDeadline lets the home answer shortly after the deadline:
+// its word counts, and the request is not reported as unknown.
+func TestHomeDecidesAtTheDeadline(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect("&egretroad.work=quick")
+	f.home.runError = func(r txn.Request, _ txn.Batch) error {
+		time.Sleep(r.Timeout + 50*time.Millisecond)
+		return &outcome.NotRunError{Reason: outcome.ReasonDeadline, Detail: "refused in the queue"}
+	}
+	_, err := conn.Exec(f.context(), "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	f.Expect(code(err)).To(Equal(outcome.CodeNotRun))
+	f.Expect(f.home.requests()).To(HaveLen(1))
+}
+
 func TestPassword(t *testing.T) {
 	f := newFixture(t, func(o *Options) { o.Users = map[string]string{"shop": "lamp"} })
 	connect := func(user, password string) error {
