Let VMs outside the platform's list be found again after a cut

Change: a VM that is not listed sends its record with every heartbeat; a test. Conclusion: views agree after faults again.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -184,4 +184,27 @@
 	}
 }
 
+func TestUnlistedVMBecomesKnownAfterACut(t *testing.T) {
+	g := NewWithT(t)
+	s := started(t, 3, 2, 6)
+	s.cut["dc1"] = true
+	unlisted := simVM(1, 7)
+	s.seeds = []topology.VM{simVM(1, 0)}
+	s.start(unlisted)
+	s.advance(10 * time.Second)
+	g.Expect(s.nodes["vm-0-0"].snapshot.VMs).NotTo(HaveKey(unlisted.ID))
+	for _, id := range []string{"vm-1-0", "vm-1-1"} {
+		s.nodes[id].up = false
+	}
+	s.advance(5 * time.Second)
+	s.cut = map[string]bool{}
+	s.advance(5 * time.Second)
+	for _, id := range []string{"vm-1-0", "vm-1-1"} {
+		s.start(s.nodes[id].vm)
+	}
+	s.advance(20 * time.Second)
+	g.Expect(s.nodes["vm-0-0"].snapshot.VMs).To(HaveKey(unlisted.ID))
+	g.Expect(agreed(s)).To(Succeed())
+}
+
 func leaving() control.Leaving { return control.Leaving{} }
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -185,6 +185,8 @@
 	m.notify(m.ring.relays, peer.MethodHeartbeat, m.withRecords(records...))
 }
 
+// newHeartbeat carries the own record after it changed, and as long as this VM is
+// not in the platform's list: receivers may not know its addresses.
 func (m *Machine) newHeartbeat() Heartbeat {
 	h := Heartbeat{
 		Incarnation: m.self.incarnation,
@@ -192,7 +194,7 @@
 		Objects:     m.objects.digest,
 		Members:     m.members.sum(),
 	}
-	if m.now < m.self.announceUntil {
+	if m.now < m.self.announceUntil || !m.members.members[m.cfg.Self.ID].listed {
 		h.Records = []Record{m.selfRecord()}
 	}
 	return h
