--- a/internal/gateway/sql.go
+++ b/internal/gateway/sql.go
@@ -122,12 +122,12 @@
 }
 
 // readSetting reads the setting of SET, RESET and SHOW.
-func (s *statement) readSetting(rest string) {
-	switch s.Kind {
+func (st *statement) readSetting(rest string) {
+	switch st.Kind {
 	case kindSet, kindReset:
-		s.set, s.setOK = parseSet(s.SQL)
+		st.set, st.setOK = parseSet(st.SQL)
 	case kindShow:
-		s.show, _ = settingName(rest)
+		st.show, _ = settingName(rest)
 	}
 }
 
@@ -180,7 +180,7 @@
 }
 
 // endsTransaction reports whether the statement may commit an open transaction.
-func (s statement) endsTransaction() bool { return s.Kind == kindCommit }
+func (st statement) endsTransaction() bool { return st.Kind == kindCommit }
 
 // keyword returns the first word in upper case and the rest after it.
 func keyword(sql string) (word, rest string) {
