Hold new work back on a peer link that has gone silent

Change: a link with answers outstanding is pinged after 150 ms; while the ping is unanswered past 250 ms of silence, writes wait unsent and reads fail at once as not run.

--- a/internal/peer/clientlane.go
+++ b/internal/peer/clientlane.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		return txn.Result{}, l.finish(&outcome.NotRunError{Reason: outcome.ReasonHomeLost, Detail: "home VM " + l.vm + " cannot be reached", Cause: err})
 	}
+	if err := l.awaitHome(ctx, first, b); err != nil {
+		return txn.Result{}, l.finish(&outcome.NotRunError{Reason: outcome.ReasonHomeLost, Detail: "home VM " + l.vm + " does not answer", Cause: err})
+	}
 	if err := l.sendBatch(first, b); err != nil {
 		return txn.Result{}, l.finish(l.broken(err))
 	}
@@ -86,6 +89,20 @@
 	return true, nil
 }
 
+// awaitHome holds a batch back while the home does not answer: its outcome would
+// be unknown if the link were lost. A read that has not begun fails at once, so
+// that it can go to another server.
+func (l *clientLane) awaitHome(ctx context.Context, first bool, b txn.Batch) error {
+	link := l.client.link
+	if !link.doubted.Load() || !(first || b.MayCommit) {
+		return nil
+	}
+	if first && l.request.Access == catalogue.AccessRead {
+		return &SilentError{Silence: l.node.opts.DoubtAfter}
+	}
+	return link.awaitAnswer(ctx)
+}
+
 // LaneEndedError reports a batch on a lane that has ended.
 type LaneEndedError struct{}
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -53,9 +54,11 @@
 	spare   []byte
 	writing bool
 	err     error
+	doubt   chan struct{} // not nil while a ping is unanswered; closed when that ends
 
 	closed   chan struct{}
 	lastRead atomic.Int64 // nanoseconds of opts.Now
+	doubted  atomic.Bool  // doubt is not nil
 	busy     atomic.Int64 // calls and lanes outstanding
 	pinged   bool         // used by checkSilence only
 }
@@ -167,6 +170,46 @@
 		l.pinged = l.sendLater(frame{Type: framePing})
 	case silence > l.opts.SilenceTimeout:
 		l.close(&SilentError{Silence: silence})
+	case silence > l.opts.DoubtAfter:
+		l.beginDoubt()
+	}
+}
+
+// beginDoubt holds back new work that must not be lost on a link that has
+// gone silent.
+func (l *link) beginDoubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil && l.doubt == nil {
+		l.doubt = make(chan struct{})
+		l.doubted.Store(true)
+	}
+}
+
+// endDoubt lets held work go on; l.mu is held.
+func (l *link) endDoubt() {
+	if l.doubt != nil {
+		close(l.doubt)
+		l.doubt = nil
+		l.doubted.Store(false)
+	}
+}
+
+// awaitAnswer waits until no ping is unanswered. It fails when the link closes
+// or ctx ends first.
+func (l *link) awaitAnswer(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		doubt, err := l.doubt, l.err
+		l.mu.Unlock()
+		if err != nil || doubt == nil {
+			return err
+		}
+		select {
+		case <-doubt:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
@@ -203,6 +246,11 @@
 			return frame{}, err
 		}
 		l.lastRead.Store(int64(l.opts.Now()))
+		if l.doubted.Load() {
+			l.mu.Lock()
+			l.endDoubt()
+			l.mu.Unlock()
+		}
 		l.stats.received(f.Type, len(f.Body)+frameHeaderBytes)
 		switch f.Type {
 		case framePing:
@@ -228,6 +276,7 @@
 	}
 	l.err = &LinkClosedError{Remote: l.vm, Cause: cause}
 	l.pending = nil
+	l.endDoubt()
 	close(l.closed)
 	l.space.Broadcast()
 	_ = l.conn.Close() // the cause is already kept
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -27,7 +27,9 @@
 	TLS            *tls.Config
 	DialTimeout    time.Duration // connect and hello together
 	WriteTimeout   time.Duration
+	CheckInterval  time.Duration // between checks for silent and idle links
 	PingAfter      time.Duration // silence with answers outstanding before a ping
+	DoubtAfter     time.Duration // silence after which new transactions are held back
 	SilenceTimeout time.Duration // silence after which a link is closed
 	IdleTimeout    time.Duration // an unused outgoing link is closed after this time
 	MaxLinks       int           // incoming links
@@ -39,7 +41,8 @@
 	return Options{
 		Self: self, BindIP: bindIP, FleetKey: fleetKey,
 		DialTimeout: time.Second, WriteTimeout: 2 * time.Second,
-		PingAfter: 400 * time.Millisecond, SilenceTimeout: 1200 * time.Millisecond,
+		CheckInterval: 50 * time.Millisecond, PingAfter: 150 * time.Millisecond,
+		DoubtAfter: 250 * time.Millisecond, SilenceTimeout: 1200 * time.Millisecond,
 		IdleTimeout: 2 * time.Minute, MaxLinks: 4096, Now: clock.Boottime,
 	}
 }
@@ -146,7 +149,7 @@
 // checkLoop looks for silent and idle links.
 func (n *Node) checkLoop() {
 	defer n.done.Done()
-	ticker := time.NewTicker(n.opts.PingAfter / 2)
+	ticker := time.NewTicker(n.opts.CheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -265,6 +265,33 @@
 	}
 }
 
+// While a ping is unanswered, writes wait unsent and reads fail at once; both
+// are known not to have run.
+func TestSilentHomeGetsNoNewWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := pair(t, &echoHome{}, "key", "key")
+	run := func(ctx context.Context, access catalogue.Access) error {
+		_, err := a.OpenLane("b", txn.Request{Term: 1, Access: access}).Run(ctx, txn.Batch{Messages: []byte("x"), MayCommit: true}, func([]byte) error { return nil })
+		return err
+	}
+	ctx := context.Background()
+	g.Expect(run(ctx, catalogue.AccessWrite)).To(gomega.Succeed())
+	a.mu.Lock()
+	l := a.out["b"].client.link
+	a.mu.Unlock()
+	l.beginDoubt()
+	var notRun *outcome.NotRunError
+	g.Expect(run(ctx, catalogue.AccessRead)).To(gomega.BeAssignableToTypeOf(notRun))
+	cancelled, cancel := context.WithCancel(ctx)
+	cancel()
+	g.Expect(run(cancelled, catalogue.AccessWrite)).To(gomega.BeAssignableToTypeOf(notRun))
+	waiting := make(chan error)
+	go func() { waiting <- run(ctx, catalogue.AccessWrite) }()
+	g.Expect(l.sendLater(frame{Type: framePing})).To(gomega.BeTrue())
+	g.Expect(<-waiting).To(gomega.Succeed(), "the answer to the ping ends the wait")
+	g.Expect(run(ctx, catalogue.AccessRead)).To(gomega.Succeed())
+}
+
 func FuzzDecodeFrame(f *testing.F) {
 	good, _ := appendFrame(nil, frame{Type: frameCall, Number: 3, Body: []byte("x")})
 	f.Add(good[frameHeaderBytes:])
