Look at an idle connection before work that must not be sent twice

Change: such work takes a connection only after a look at its socket that costs one system call and does not block; closed ones are discarded and the others probed. Figures: the new test fails without the change and passes with it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -195,6 +195,29 @@
 	return have > int(binary.BigEndian.Uint32(c.buf[c.start+1:]))
 }
 
+// Idle reports whether an idle connection is still open, as far as this VM has
+// been told, and the server has said nothing on it. It does not block.
+func (c *Conn) Idle() bool {
+	if c.end > c.start {
+		return false
+	}
+	socket, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Control(func(fd uintptr) {
+		var peeked [1]byte
+		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		idle = err == unix.EAGAIN
+	})
+	return err == nil && idle
+}
+
 // fill reads until n bytes are buffered.
 func (c *Conn) fill(n int) error {
 	for c.end-c.start < n {
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -406,3 +406,18 @@
 	_, _, err := f.run(read("db-b"), txn.Batch{Messages: message})
 	f.Expect(errors.As(err, new(*backend.ProtocolError))).To(BeTrue())
 }
+
+// Work that must not be sent twice is not given a connection that the server
+// has closed: it would end as not run, though a new connection works.
+func TestClosedConnectionsAreNotUsedForWork(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.StatusInterval = time.Hour })
+	_, _, err := f.run(write(), query(insert("before"), true))
+	f.Expect(err).NotTo(HaveOccurred())
+	for i := range 5 {
+		f.group.Server("db-a").DropConnections()
+		key := fmt.Sprint("after", i)
+		_, _, err := f.run(write(), query(insert(key), true))
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(f.group.Seen(key)).To(Equal(1))
+	}
+}
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -55,21 +55,34 @@
 	}
 }
 
-// connect takes a connection from the pool.
+// connect takes a connection from the pool. Work that must not be sent twice
+// gets none that the server has closed already.
 func (l *lane) connect(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.now()))
+	defer cancel()
+	for {
+		conn, err := l.takeConnection(ctx)
+		if err != nil {
+			return &outcome.NotRunError{Reason: outcome.ReasonConnect, Detail: "no connection to server " + l.s.id, Cause: err}
+		}
+		if l.request.Repeatable || conn.Idle() {
+			l.mu.Lock()
+			l.conn = conn
+			l.mu.Unlock()
+			return nil
+		}
+		l.s.pool.Discard(conn)
+		l.s.pool.Suspect()
+	}
+}
+
+// takeConnection returns an idle connection, waiting for one if there is none.
+func (l *lane) takeConnection(ctx context.Context) (*pool.Conn, error) {
 	conn, err := l.s.pool.TryTake(l.settings.key)
 	if conn == nil && err == nil {
-		ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.now()))
-		defer cancel()
 		conn, err = l.s.pool.Take(ctx, l.settings.key)
 	}
-	if err != nil {
-		return &outcome.NotRunError{Reason: outcome.ReasonConnect, Detail: "no connection to server " + l.s.id, Cause: err}
-	}
-	l.mu.Lock()
-	l.conn = conn
-	l.mu.Unlock()
-	return nil
+	return conn, err
 }
 
 // opened registers the lane and starts its idle timer.
