Keep requests' contexts apart and stop waiting for control at a stop

Cause: every request registered with one context shared by all sessions, every lane with that of the node, and every lane set a timer for a connection that it mostly had at once; a proxy stopped before control was ready kept a goroutine. Change: requests hang on their session's context, lanes on their own; the timer is set only when no connection is idle; the wait for control ends with the stop.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -64,7 +64,7 @@
 		deadline = s.gateway.options.DefaultDeadline
 	}
 	r.deadline = r.began.Add(deadline)
-	ctx, cancel := context.WithDeadline(s.gateway.context, r.deadline.Add(s.gateway.options.HomeGrace))
+	ctx, cancel := context.WithDeadline(s.context, r.deadline.Add(s.gateway.options.HomeGrace))
 	r.ctx = ctx
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,9 @@
 		return
 	}
 	defer g.unregister(s)
+	ctx, stop := context.WithCancel(g.context)
+	defer stop()
+	s.context = ctx
 	s.loop()
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -26,6 +26,7 @@
 // for the fields that mu guards.
 type session struct {
 	gateway  *Gateway
+	context  context.Context // parent of its requests' contexts
 	wire     *wire
 	user     string
 	database string
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -58,8 +58,6 @@
 // connect takes a connection from the pool. Work that must not be sent twice
 // gets none that the server has closed already.
 func (l *lane) connect(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.now()))
-	defer cancel()
 	for {
 		conn, err := l.takeConnection(ctx)
 		if err != nil {
@@ -79,10 +77,12 @@
 // takeConnection returns an idle connection, waiting for one if there is none.
 func (l *lane) takeConnection(ctx context.Context) (*pool.Conn, error) {
 	conn, err := l.s.pool.TryTake(l.settings.key)
-	if conn == nil && err == nil {
-		conn, err = l.s.pool.Take(ctx, l.settings.key)
+	if conn != nil || err != nil {
+		return conn, err
 	}
-	return conn, err
+	ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.now()))
+	defer cancel()
+	return l.s.pool.Take(ctx, l.settings.key)
 }
 
 // opened registers the lane and starts its idle timer.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -121,7 +121,8 @@
 	if err := decode(f.Body, &body); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(s.node.ctx)
+	// closeLanes cancels it when the link ends, also at the node's stop.
+	ctx, cancel := context.WithCancel(context.Background())
 	l := &serverLane{
 		link: s.link, number: f.Number, cancel: cancel,
 		batches: make(chan txn.Batch, 1), window: newWindow(laneWindowBytes),
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -51,7 +51,11 @@
 
 // serveCallers accepts callers once control knows the catalogue and the groups.
 func (p *Proxy) serveCallers() {
-	<-p.parts.Control.Ready()
+	select {
+	case <-p.parts.Control.Ready():
+	case <-p.stopping:
+		return
+	}
 	p.serving.Store(true)
 	p.parts.Log.Info("ready", "callers", p.CallerAddr(), "operator", p.OperatorAddr())
 	if err := p.parts.Gateway.Serve(p.parts.Listeners.callers); err != nil && !p.killed.Load() {
@@ -61,6 +65,7 @@
 
 // drainCallers says farewell, lets requests in progress end, then closes callers' connections.
 func (p *Proxy) drainCallers(ctx context.Context) error {
+	close(p.stopping)
 	p.serving.Store(false)
 	if p.killed.Load() {
 		return nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,6 +33,7 @@
 	parts    parts
 	settings config.Settings
 	serving  atomic.Bool
+	stopping chan struct{} // closed when the stop begins
 	killed   atomic.Bool
 	cut      atomic.Bool // the drain's time ended with requests in progress
 }
@@ -70,7 +71,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	p := &Proxy{settings: settings}
+	p := &Proxy{settings: settings, stopping: make(chan struct{})}
 	p.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
