Keep adapters out of what decisions import

Cause: control imported the packages that hold the peer connections and the HTTP client, against the layout. Change: the client of the object API is internal/platform/objectclient, the names of messages are internal/peer/method; internal/platform is the contract alone.

--- a/internal/authority/run/executor.go
+++ b/internal/authority/run/executor.go
@@ -18,6 +18,7 @@
 	"egretroad/internal/authority"
 	"egretroad/internal/metrics"
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
@@ -66,9 +67,9 @@
 		calls:    callBook{waiting: map[uint64]chan authority.LeaseReply{}},
 		counters: map[string]*expvar.Int{},
 	}
-	deps.Registrar.Handle(peer.MethodLeaseAsk, s.handleLeaseAsk)
-	deps.Registrar.Handle(peer.MethodRelease, s.handleRelease)
-	deps.Registrar.Handle(peer.MethodEvidence, s.handleEvidence)
+	deps.Registrar.Handle(method.LeaseAsk, s.handleLeaseAsk)
+	deps.Registrar.Handle(method.Release, s.handleRelease)
+	deps.Registrar.Handle(method.Evidence, s.handleEvidence)
 	return s
 }
 
@@ -100,7 +101,7 @@
 	if delegate == s.deps.Self.ID {
 		return
 	}
-	if _, err := s.deps.Peers.Call(ctx, delegate, peer.MethodLeaseAsk, body); err != nil {
+	if _, err := s.deps.Peers.Call(ctx, delegate, method.LeaseAsk, body); err != nil {
 		s.deps.Log.Warn("lease_drop_unanswered", "delegate", delegate, "error", err)
 	}
 }
@@ -119,7 +120,7 @@
 	case authority.AnswerRelease:
 		s.calls.answer(e.Call, authority.LeaseReply{})
 	case authority.SendEvidence:
-		s.deps.Peers.Notify(e.To, peer.MethodEvidence, encode(authority.EvidenceBody{Items: e.Items}))
+		s.deps.Peers.Notify(e.To, method.Evidence, encode(authority.EvidenceBody{Items: e.Items}))
 	case authority.RunAdmin:
 		go s.runAdmin(ctx, e)
 	case authority.PublishTable:
@@ -180,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	answer := authority.AskAnswered{Op: e.Op, AskedAt: s.deps.Now()}
-	body, err := s.deps.Peers.Call(ctx, e.Delegate, peer.MethodLeaseAsk, encode(e.Request))
+	body, err := s.deps.Peers.Call(ctx, e.Delegate, method.LeaseAsk, encode(e.Request))
 	var reply authority.LeaseReply
 	if err == nil {
 		err = msgpack.Unmarshal(body, &reply)
@@ -196,7 +197,7 @@
 func (s *Service) askRelease(ctx context.Context, e authority.AskRelease) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	_, err := s.deps.Peers.Call(ctx, e.Holder, peer.MethodRelease, encode(authority.ReleaseRequest{Lease: e.Lease}))
+	_, err := s.deps.Peers.Call(ctx, e.Holder, method.Release, encode(authority.ReleaseRequest{Lease: e.Lease}))
 	s.emit(authority.ReleaseAnswered{Op: e.Op, Released: err == nil, Now: s.deps.Now()})
 }
 
--- a/internal/authority/run/service_test.go
+++ b/internal/authority/run/service_test.go
@@ -15,6 +15,7 @@
 	"egretroad/internal/metrics"
 	"egretroad/internal/outcome"
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
@@ -265,7 +266,7 @@
 	}
 	g.Eventually(tick, waitLimit, 5*time.Millisecond).Should(BeTrue())
 	body := encode(authority.ReleaseRequest{Lease: authority.Lease{Database: "orders", Term: 3}})
-	_, err := b.peers.Call(context.Background(), "vm-a", peer.MethodRelease, body)
+	_, err := b.peers.Call(context.Background(), "vm-a", method.Release, body)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(b.service.Authority().Held("orders", 3)).To(BeFalse())
 	for range 20 {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"egretroad/internal/operate"
-	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 )
 
 // Time bounds of operator commands.
@@ -43,7 +43,7 @@
 	if c.platform == "" {
 		return nil, &UsageError{Detail: fmt.Sprintf("the platform's address is missing: give --platform IP:PORT or set %s", platformVariable)}
 	}
-	store := platform.NewClient(platformURL(c.platform), platform.DefaultClientOptions())
+	store := objectclient.New(platformURL(c.platform), objectclient.DefaultOptions())
 	return operate.New(store, c.by), nil
 }
 
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"egretroad/internal/control"
-	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
@@ -77,7 +77,7 @@
 		from := vms[size.dataCentres].ID
 		b.ReportAllocs()
 		for b.Loop() {
-			m.Step(reducer.PeerMessage{From: from, Method: peer.MethodHeartbeat, Body: body, Now: now})
+			m.Step(reducer.PeerMessage{From: from, Method: method.Heartbeat, Body: body, Now: now})
 		}
 	})
 }
@@ -103,7 +103,7 @@
 			m.Step(reducer.Tick{Now: now})
 			if now%(500*time.Millisecond) == 0 {
 				for _, id := range monitored {
-					m.Step(reducer.PeerMessage{From: id, Method: peer.MethodHeartbeat, Body: body, Now: now})
+					m.Step(reducer.PeerMessage{From: id, Method: method.Heartbeat, Body: body, Now: now})
 				}
 			}
 		}
@@ -151,7 +151,7 @@
 				b.Fatal(err)
 			}
 			m.Step(reducer.Tick{Now: now})
-			m.Step(reducer.PeerMessage{From: vms[size.dataCentres].ID, Method: peer.MethodHeartbeat, Body: body, Now: now})
+			m.Step(reducer.PeerMessage{From: vms[size.dataCentres].ID, Method: method.Heartbeat, Body: body, Now: now})
 		}
 	})
 }
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 )
 
 // Times of the membership protocol that follow from the options.
@@ -71,13 +71,13 @@
 	if outdated {
 		reply.Records = append(reply.Records, sender.share())
 	}
-	m.notify([]string{from}, peer.MethodHeartbeat, reply)
+	m.notify([]string{from}, method.Heartbeat, reply)
 }
 
 // learn merges a record and passes news from another data centre on.
 func (m *Machine) learn(r Record, from string) {
 	if m.merge(r, from) && !m.inOwnDataCentre(from) {
-		m.notify(m.others(), peer.MethodHeartbeat, m.withRecords(r))
+		m.notify(m.others(), method.Heartbeat, m.withRecords(r))
 	}
 }
 
@@ -181,8 +181,8 @@
 // broadcast sends records to this data centre and to one VM of each other one,
 // which passes them on.
 func (m *Machine) broadcast(records ...Record) {
-	m.notify(m.others(), peer.MethodHeartbeat, m.withRecords(records...))
-	m.notify(m.ring.relays, peer.MethodHeartbeat, m.withRecords(records...))
+	m.notify(m.others(), method.Heartbeat, m.withRecords(records...))
+	m.notify(m.ring.relays, method.Heartbeat, m.withRecords(records...))
 }
 
 // newHeartbeat carries the own record after it changed, and as long as this VM is
@@ -213,13 +213,13 @@
 	}
 	if m.now >= m.timers.heartbeat {
 		m.timers.heartbeat = m.now + m.opts.Heartbeat
-		m.notify(m.ring.targets, peer.MethodHeartbeat, m.newHeartbeat())
+		m.notify(m.ring.targets, method.Heartbeat, m.newHeartbeat())
 	}
 	if m.now >= m.timers.farHeartbeat {
 		m.timers.farHeartbeat = m.now + m.opts.FarHeartbeat
 		h := m.newHeartbeat()
 		h.Probe = true
-		m.notify(m.ring.far, peer.MethodHeartbeat, h)
+		m.notify(m.ring.far, method.Heartbeat, h)
 		m.probeDead()
 	}
 }
@@ -237,7 +237,7 @@
 	vm := dead[m.self.deadCursor%len(dead)]
 	h := m.withRecords(m.members.members[vm].share())
 	h.Probe = true
-	m.notify([]string{vm}, peer.MethodHeartbeat, h)
+	m.notify([]string{vm}, method.Heartbeat, h)
 }
 
 // resumed counts silence anew after a pause of this VM.
@@ -299,14 +299,14 @@
 	x.probed = m.now
 	h := m.newHeartbeat()
 	h.Probe = true
-	m.notify([]string{x.record.ID}, peer.MethodHeartbeat, h)
+	m.notify([]string{x.record.ID}, method.Heartbeat, h)
 	if m.silence(x) < m.opts.SilenceLimit {
 		return
 	}
 	h.Probe = false
 	h.Silent = []Silence{{ID: x.record.ID, Incarnation: x.record.Incarnation}}
 	monitors := without(m.ring.monitorsOf(x.record.ID, m.opts.Monitors), m.cfg.Self.ID)
-	m.notify(monitors, peer.MethodHeartbeat, h)
+	m.notify(monitors, method.Heartbeat, h)
 }
 
 func (m *Machine) foundSilent(id string) {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/reducer"
 )
 
@@ -154,17 +154,17 @@
 func (m *Machine) receive(e reducer.PeerMessage) {
 	var err error
 	switch e.Method {
-	case peer.MethodHeartbeat:
+	case method.Heartbeat:
 		var h Heartbeat
 		if err = decode(e.Method, e.Body, &h); err == nil {
 			m.heartbeat(e.From, h)
 		}
-	case peer.MethodObjects:
+	case method.Objects:
 		var n ObjectNews
 		if err = decode(e.Method, e.Body, &n); err == nil {
 			m.objectNews(e.From, n)
 		}
-	case peer.MethodStatus:
+	case method.Status:
 		var r Report
 		if err = decode(e.Method, e.Body, &r); err == nil {
 			m.reported(e.From, r)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -54,7 +54,7 @@
 	Incarnation uint64 `msgpack:"n"`
 }
 
-// Heartbeat is the body of peer.MethodHeartbeat.
+// Heartbeat is the body of method.Heartbeat.
 type Heartbeat struct {
 	Incarnation uint64    `msgpack:"n"`
 	Complete    uint64    `msgpack:"c,omitempty"` // revision up to which the sender has every object
@@ -77,7 +77,7 @@
 	Good        []byte `msgpack:"g,omitempty"`
 }
 
-// ObjectNews is the body of peer.MethodObjects. A receiver that was complete up
+// ObjectNews is the body of method.Objects. A receiver that was complete up
 // to Since is then complete up to Revision.
 type ObjectNews struct {
 	Since    uint64         `msgpack:"s"`
@@ -85,7 +85,7 @@
 	Objects  []ObjectRecord `msgpack:"o"`
 }
 
-// FetchRequest is the body of peer.MethodFetch: the digests of the asker's
+// FetchRequest is the body of method.Fetch: the digests of the asker's
 // buckets. The answer holds the buckets that differ; without digests, all.
 type FetchRequest struct {
 	Objects []uint64 `msgpack:"o,omitempty"`
@@ -99,7 +99,7 @@
 	Members  []Record       `msgpack:"m,omitempty"`
 }
 
-// Report is the body of peer.MethodStatus: a VM tells the watcher of its data
+// Report is the body of method.Status: a VM tells the watcher of its data
 // centre which revision is in force on it.
 type Report struct {
 	Revision uint64   `msgpack:"r"`
--- a/internal/control/run/control.go
+++ b/internal/control/run/control.go
@@ -13,6 +13,7 @@
 	"egretroad/internal/control"
 	"egretroad/internal/metrics"
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
@@ -74,13 +75,13 @@
 
 // register takes the methods of control.
 func (c *Control) register(r peer.Registrar) {
-	for _, method := range []string{peer.MethodHeartbeat, peer.MethodObjects, peer.MethodStatus} {
+	for _, method := range []string{method.Heartbeat, method.Objects, method.Status} {
 		r.Handle(method, func(_ context.Context, from string, body []byte) ([]byte, error) {
 			c.runtime.Post(reducer.PeerMessage{From: from, Method: method, Body: body, Now: clock.Boottime()})
 			return nil, nil
 		})
 	}
-	r.Handle(peer.MethodFetch, c.executor.serveFetch)
+	r.Handle(method.Fetch, c.executor.serveFetch)
 }
 
 // Start starts the control goroutine.
--- a/internal/control/run/control_test.go
+++ b/internal/control/run/control_test.go
@@ -16,6 +16,7 @@
 	"egretroad/internal/metrics"
 	"egretroad/internal/peer"
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 	"egretroad/internal/standin/network"
 	"egretroad/internal/standin/objectapi"
 	"egretroad/internal/topology"
@@ -106,7 +107,7 @@
 	options := run.DefaultOptions()
 	options.Seeds = seeds
 	c := run.New(options, run.Deps{
-		Self: vm, Store: platform.NewClient(f.api.URL(), platform.DefaultClientOptions()),
+		Self: vm, Store: objectclient.New(f.api.URL(), objectclient.DefaultOptions()),
 		Peers: meshNode{f.mesh, vm.ID}, Registrar: meshNode{f.mesh, vm.ID},
 		Publisher: publisher, Log: eventlog.Discard(), Metrics: metrics.NewRegistry(),
 	})
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -12,6 +12,7 @@
 
 	"egretroad/internal/control"
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
@@ -186,16 +187,16 @@
 	result := control.PeerFetched{From: e.From}
 	request, err := msgpack.Marshal(e.Request)
 	if err != nil {
-		result.Err = &control.MessageError{Method: peer.MethodFetch, Cause: err}
+		result.Err = &control.MessageError{Method: method.Fetch, Cause: err}
 		return result
 	}
-	answer, err := x.peers.Call(ctx, e.From, peer.MethodFetch, request)
+	answer, err := x.peers.Call(ctx, e.From, method.Fetch, request)
 	if err != nil {
 		result.Err = err
 		return result
 	}
 	if err := msgpack.Unmarshal(answer, &result.Reply); err != nil {
-		result.Err = &control.MessageError{Method: peer.MethodFetch, Cause: err}
+		result.Err = &control.MessageError{Method: method.Fetch, Cause: err}
 	}
 	return result
 }
@@ -204,7 +205,7 @@
 func (x *executor) serveFetch(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var request control.FetchRequest
 	if err := msgpack.Unmarshal(body, &request); err != nil {
-		return nil, &control.MessageError{Method: peer.MethodFetch, Cause: err}
+		return nil, &control.MessageError{Method: method.Fetch, Cause: err}
 	}
 	ask, answer := x.newAsk()
 	defer x.dropAsk(ask)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 )
 
 // VMStatus is what a VM last reported to the watcher of its data centre.
@@ -72,7 +72,7 @@
 		m.reported(m.cfg.Self.ID, r)
 		return
 	}
-	m.notify([]string{m.ring.watcher}, peer.MethodStatus, r)
+	m.notify([]string{m.ring.watcher}, method.Status, r)
 }
 
 // reported takes a VM's report in.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 )
@@ -100,9 +100,9 @@
 		return
 	}
 	message := ObjectNews{Since: since, Revision: revision, Objects: news}
-	m.notify(m.others(), peer.MethodObjects, message)
+	m.notify(m.others(), method.Objects, message)
 	if from == fromStore || from == fromWatch {
-		m.notify(m.ring.relays, peer.MethodObjects, message)
+		m.notify(m.ring.relays, method.Objects, message)
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"egretroad/internal/coalesce"
 	"egretroad/internal/outcome"
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/topology"
 	"egretroad/internal/txn"
 )
@@ -37,9 +38,9 @@
 // New returns a dispatcher and registers its peer methods.
 func New(source topology.Source, peers Peers) *Dispatcher {
 	d := &Dispatcher{source: source, peers: peers}
-	peers.Handle(peer.MethodPosition, d.servePosition)
-	peers.Handle(peer.MethodWaitApplied, d.serveWaitApplied)
-	peers.Handle(peer.MethodAdmin, d.serveAdmin)
+	peers.Handle(method.Position, d.servePosition)
+	peers.Handle(method.WaitApplied, d.serveWaitApplied)
+	peers.Handle(method.Admin, d.serveAdmin)
 	return d
 }
 
@@ -81,7 +82,7 @@
 			return d.local.Position(ctx, server)
 		}
 		var a positionAnswer
-		err = d.call(ctx, vm, peer.MethodPosition, positionQuery{Server: server}, &a)
+		err = d.call(ctx, vm, method.Position, positionQuery{Server: server}, &a)
 		return a.Mark, err
 	})
 }
@@ -96,7 +97,7 @@
 		return d.local.WaitApplied(ctx, server, m)
 	}
 	var a statusAnswer
-	err = d.call(ctx, vm, peer.MethodWaitApplied, waitQuery{Server: server, Mark: m}, &a)
+	err = d.call(ctx, vm, method.WaitApplied, waitQuery{Server: server, Mark: m}, &a)
 	return a.Status, err
 }
 
@@ -110,7 +111,7 @@
 		return d.local.Admin(ctx, r)
 	}
 	var a statusAnswer
-	err = d.call(ctx, vm, peer.MethodAdmin, r, &a)
+	err = d.call(ctx, vm, method.Admin, r, &a)
 	return a.Status, err
 }
 
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -13,6 +13,7 @@
 	"egretroad/internal/eventlog"
 	"egretroad/internal/operate"
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 	"egretroad/internal/proxy"
 	"egretroad/internal/standin/deployment"
 	"egretroad/internal/standin/objectapi"
@@ -35,7 +36,7 @@
 }
 
 func operatorOf(d *demo.Demo, by string) *operate.Operator {
-	return operate.New(platform.NewClient(d.Stands.Platform.URL(), platform.DefaultClientOptions()), by)
+	return operate.New(objectclient.New(d.Stands.Platform.URL(), objectclient.DefaultOptions()), by)
 }
 
 func measured(limit int) operate.Input {
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
 )
 
 // A process ID holds the proxy's number above the session's.
@@ -27,7 +28,7 @@
 // Two VMs may share a number; the secret then tells their sessions apart.
 func ProxyNumber(vm string) uint32 { return uint32(xxhash.Sum64String(vm)) & proxyMask }
 
-// cancelMessage is the body of peer.MethodCancel.
+// cancelMessage is the body of method.Cancel.
 type cancelMessage struct {
 	PID    uint32 `msgpack:"p"`
 	Secret uint32 `msgpack:"s"`
@@ -41,13 +42,13 @@
 			return
 		}
 		// A cancel request has no answer, so its failure has no reader.
-		_, _ = c.Call(ctx, vm, peer.MethodCancel, body)
+		_, _ = c.Call(ctx, vm, method.Cancel, body)
 	}
 }
 
 // RegisterPeer takes cancel requests that landed on other proxies.
 func (g *Gateway) RegisterPeer(r peer.Registrar) {
-	r.Handle(peer.MethodCancel, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+	r.Handle(method.Cancel, func(_ context.Context, _ string, body []byte) ([]byte, error) {
 		var m cancelMessage
 		if err := msgpack.Unmarshal(body, &m); err != nil {
 			return nil, err
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -12,6 +12,7 @@
 	"egretroad/internal/control"
 	"egretroad/internal/operate"
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 	"egretroad/internal/standin/network"
 	"egretroad/internal/standin/objectapi"
 	"egretroad/internal/topology"
@@ -23,7 +24,7 @@
 	api, err := objectapi.Start(links.PlatformAddr()+":0", links)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(api.Close)
-	return api, platform.NewClient(api.URL(), platform.DefaultClientOptions())
+	return api, objectclient.New(api.URL(), objectclient.DefaultOptions())
 }
 
 func entry(limit int) operate.Input {
--- a/internal/peer/api.go
+++ b/internal/peer/api.go
@@ -8,22 +8,6 @@
 	"fmt"
 )
 
-// Methods of unary calls and one-way messages. The package named in a comment
-// defines the body and registers the handler.
-const (
-	MethodPosition    = "position"     // dispatch
-	MethodWaitApplied = "wait_applied" // dispatch
-	MethodAdmin       = "admin"        // dispatch
-	MethodCancel      = "cancel"       // gateway: a cancel request that landed elsewhere
-	MethodHeartbeat   = "heartbeat"    // control: one-way
-	MethodObjects     = "objects"      // control: one-way, relayed platform objects
-	MethodFetch       = "fetch"        // control: a peer's copy of all objects
-	MethodStatus      = "status"       // control: version in force, for apply --wait
-	MethodEvidence    = "evidence"     // authority: one-way, server health as a home sees it
-	MethodLeaseAsk    = "lease_ask"    // authority: homes ask the data centre's delegate
-	MethodRelease     = "release"      // authority: a holder gives up (database, term)
-)
-
 // Caller reaches other VMs by ID; the address comes from the snapshot in force.
 // A call to the own VM runs the handler directly.
 type Caller interface {
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API: JSON over HTTP
-// with versions, conditional updates and long-poll watches. Every call is
-// counted by kind.
+// Package platform is the contract of the platform's object API: JSON over HTTP
+// with versions, conditional updates and long-poll watches. Package objectclient
+// is its client.
 package platform
 
 import (
--- a/internal/platform/client.go
+++ b/internal/platform/objectclient/client.go
@@ -1,4 +1,6 @@
-package platform
+// Package objectclient is the HTTP client of the platform's object API. Every call
+// is counted by kind and keeps to a budget.
+package objectclient
 
 import (
 	"bytes"
@@ -14,10 +16,12 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"egretroad/internal/platform"
 )
 
-// ClientOptions sets the bounds of a client.
-type ClientOptions struct {
+// Options sets the bounds of a client.
+type Options struct {
 	BindIP          string        // source IP of connections; empty: any
 	DialTimeout     time.Duration // to connect
 	CallTimeout     time.Duration // from call to complete answer; a watch adds its wait
@@ -30,9 +34,9 @@
 	WatchKinds      []string      // kinds that Watch asks for; empty: all
 }
 
-// DefaultClientOptions returns the options of a proxy's client.
-func DefaultClientOptions() ClientOptions {
-	return ClientOptions{
+// DefaultOptions returns the options of a proxy's client.
+func DefaultOptions() Options {
+	return Options{
 		DialTimeout:     2 * time.Second,
 		CallTimeout:     5 * time.Second,
 		MaxAnswerBytes:  64 << 20,
@@ -41,23 +45,23 @@
 		ReadBurst:       40,
 		WritesPerSecond: 10,
 		WriteBurst:      40,
-		WatchKinds:      []string{KindCatalogue, KindGroup},
+		WatchKinds:      []string{platform.KindCatalogue, platform.KindGroup},
 	}
 }
 
-// Client calls the platform's object API over HTTP. It implements Store and is
+// Client calls the platform's object API over HTTP. It implements platform.Store and is
 // safe for concurrent use; a slow answer holds up no other call.
 type Client struct {
 	base   string
-	opts   ClientOptions
+	opts   Options
 	http   *http.Client
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	usage  usage
 }
 
-// NewClient returns a client of the API at base, e.g. "http://127.0.250.1:8080".
-func NewClient(base string, opts ClientOptions) *Client {
+// New returns a client of the API at base, e.g. "http://127.0.250.1:8080".
+func New(base string, opts Options) *Client {
 	dialer := &net.Dialer{Timeout: opts.DialTimeout}
 	if opts.BindIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(opts.BindIP)}
@@ -82,43 +86,43 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Get implements Store.
-func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	var o Object
+func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	var o platform.Object
 	err := c.call(ctx, request{call: CallGet, method: http.MethodGet, path: objectPath(kind, name), kind: kind, name: name}, &o)
 	return o, err
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, kind string) (ObjectList, error) {
-	var l ObjectList
-	err := c.call(ctx, request{call: CallList, method: http.MethodGet, path: PathObjects + url.PathEscape(kind), kind: kind}, &l)
+func (c *Client) List(ctx context.Context, kind string) (platform.ObjectList, error) {
+	var l platform.ObjectList
+	err := c.call(ctx, request{call: CallList, method: http.MethodGet, path: platform.PathObjects + url.PathEscape(kind), kind: kind}, &l)
 	return l, err
 }
 
 // Put implements Store.
-func (c *Client) Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (Object, error) {
-	if len(value) > MaxValueBytes {
-		return Object{}, &ValueTooLargeError{Kind: kind, Name: name, Bytes: len(value)}
+func (c *Client) Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, &platform.ValueTooLargeError{Kind: kind, Name: name, Bytes: len(value)}
 	}
-	body, err := json.Marshal(PutRequest{IfVersion: ifVersion, Value: value})
+	body, err := json.Marshal(platform.PutRequest{IfVersion: ifVersion, Value: value})
 	if err != nil {
-		return Object{}, &InvalidValueError{Kind: kind, Name: name, Cause: err}
+		return platform.Object{}, &platform.InvalidValueError{Kind: kind, Name: name, Cause: err}
 	}
-	var o Object
+	var o platform.Object
 	err = c.call(ctx, request{call: CallPut, method: http.MethodPut, path: objectPath(kind, name), kind: kind, name: name, ifVersion: ifVersion, body: body}, &o)
 	return o, err
 }
 
 // Delete implements Store.
-func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (Object, error) {
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (platform.Object, error) {
 	path := objectPath(kind, name) + "?ifVersion=" + strconv.FormatUint(ifVersion, 10)
-	var o Object
+	var o platform.Object
 	err := c.call(ctx, request{call: CallDelete, method: http.MethodDelete, path: path, kind: kind, name: name, ifVersion: ifVersion}, &o)
 	return o, err
 }
 
 // Watch implements Store.
-func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) (WatchReply, error) {
+func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) (platform.WatchReply, error) {
 	query := url.Values{
 		"since":  {strconv.FormatUint(since, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
@@ -126,15 +130,15 @@
 	if len(c.opts.WatchKinds) > 0 {
 		query.Set("kinds", strings.Join(c.opts.WatchKinds, ","))
 	}
-	var r WatchReply
-	err := c.call(ctx, request{call: CallWatch, method: http.MethodGet, path: PathWatch + "?" + query.Encode(), since: since, extra: wait}, &r)
+	var r platform.WatchReply
+	err := c.call(ctx, request{call: CallWatch, method: http.MethodGet, path: platform.PathWatch + "?" + query.Encode(), since: since, extra: wait}, &r)
 	return r, err
 }
 
 // VMs implements Store.
-func (c *Client) VMs(ctx context.Context) (VMList, error) {
-	var l VMList
-	err := c.call(ctx, request{call: CallVMs, method: http.MethodGet, path: PathVMs}, &l)
+func (c *Client) VMs(ctx context.Context) (platform.VMList, error) {
+	var l platform.VMList
+	err := c.call(ctx, request{call: CallVMs, method: http.MethodGet, path: platform.PathVMs}, &l)
 	return l, err
 }
 
@@ -151,7 +155,7 @@
 }
 
 func objectPath(kind, name string) string {
-	return PathObjects + url.PathEscape(kind) + "/" + url.PathEscape(name)
+	return platform.PathObjects + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
 // call sends one request and decodes its answer into out.
@@ -159,12 +163,12 @@
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout+r.extra)
 	defer cancel()
 	if err := c.limiter(r).Wait(ctx); err != nil {
-		return &UnavailableError{Call: string(r.call), Cause: &BudgetError{Call: string(r.call), Cause: err}}
+		return &platform.UnavailableError{Call: string(r.call), Cause: &platform.BudgetError{Call: string(r.call), Cause: err}}
 	}
 	status, body, err := c.roundTrip(ctx, r)
 	if err != nil {
 		c.usage.failed(r.call)
-		return &UnavailableError{Call: string(r.call), Cause: err}
+		return &platform.UnavailableError{Call: string(r.call), Cause: err}
 	}
 	return decodeAnswer(r, status, body, out)
 }
@@ -194,7 +198,7 @@
 		return 0, nil, err
 	}
 	if int64(len(body)) > c.opts.MaxAnswerBytes {
-		return 0, nil, &AnswerTooLargeError{Call: string(r.call), LimitBytes: c.opts.MaxAnswerBytes}
+		return 0, nil, &platform.AnswerTooLargeError{Call: string(r.call), LimitBytes: c.opts.MaxAnswerBytes}
 	}
 	c.usage.received(r.call, len(body))
 	return resp.StatusCode, body, nil
@@ -206,25 +210,25 @@
 	case status >= 200 && status < 300:
 		return decodeBody(r, body, out)
 	case status == http.StatusNotFound && r.name != "":
-		return &NotFoundError{Kind: r.kind, Name: r.name}
+		return &platform.NotFoundError{Kind: r.kind, Name: r.name}
 	case status == http.StatusConflict:
-		conflict := &ConflictError{Kind: r.kind, Name: r.name, IfVersion: r.ifVersion}
+		conflict := &platform.ConflictError{Kind: r.kind, Name: r.name, IfVersion: r.ifVersion}
 		if err := decodeBody(r, body, &conflict.Current); err != nil {
 			return err
 		}
 		return conflict
 	case status == http.StatusGone:
-		return &CompactedError{Since: r.since}
+		return &platform.CompactedError{Since: r.since}
 	case status >= 500 || status == http.StatusTooManyRequests:
-		return &UnavailableError{Call: string(r.call), Cause: &StatusError{Status: status, Body: string(body)}}
+		return &platform.UnavailableError{Call: string(r.call), Cause: &platform.StatusError{Status: status, Body: string(body)}}
 	default:
-		return &RejectedError{Call: string(r.call), Status: status, Body: string(body)}
+		return &platform.RejectedError{Call: string(r.call), Status: status, Body: string(body)}
 	}
 }
 
 func decodeBody(r request, body []byte, out any) error {
 	if err := json.Unmarshal(body, out); err != nil {
-		return &UnavailableError{Call: string(r.call), Cause: fmt.Errorf("answer is not the expected JSON: %w", err)}
+		return &platform.UnavailableError{Call: string(r.call), Cause: fmt.Errorf("answer is not the expected JSON: %w", err)}
 	}
 	return nil
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/objectclient/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectclient_test
 
 import (
 	"context"
@@ -14,13 +14,14 @@
 	. "github.com/onsi/gomega"
 
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 )
 
-func serve(t *testing.T, h http.HandlerFunc) *platform.Client {
+func serve(t *testing.T, h http.HandlerFunc) *objectclient.Client {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	return platform.NewClient(server.URL, platform.DefaultClientOptions())
+	return objectclient.New(server.URL, objectclient.DefaultOptions())
 }
 
 func TestClientMapsAnswersToErrors(t *testing.T) {
@@ -45,25 +46,25 @@
 	g.Expect(errors.As(call("busy"), &unavailable)).To(BeTrue())
 	var rejected *platform.RejectedError
 	g.Expect(errors.As(call("refused"), &rejected)).To(BeTrue())
-	g.Expect(c.Counts()[platform.CallPut].Calls).To(Equal(uint64(5)))
+	g.Expect(c.Counts()[objectclient.CallPut].Calls).To(Equal(uint64(5)))
 }
 
 func TestClientBoundsAnswers(t *testing.T) {
 	g := NewWithT(t)
-	o := platform.DefaultClientOptions()
+	o := objectclient.DefaultOptions()
 	o.MaxAnswerBytes = 100
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, 101))
 	}))
 	defer server.Close()
-	_, err := platform.NewClient(server.URL, o).List(context.Background(), "group")
+	_, err := objectclient.New(server.URL, o).List(context.Background(), "group")
 	var large *platform.AnswerTooLargeError
 	g.Expect(errors.As(err, &large)).To(BeTrue())
 }
 
 func TestClientRefusesCallsBeyondItsBudget(t *testing.T) {
 	g := NewWithT(t)
-	o := platform.DefaultClientOptions()
+	o := objectclient.DefaultOptions()
 	o.ReadsPerSecond, o.ReadBurst, o.CallTimeout = 0.001, 2, 100*time.Millisecond
 	var calls atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -71,7 +72,7 @@
 		_, _ = w.Write([]byte(`{}`))
 	}))
 	defer server.Close()
-	c := platform.NewClient(server.URL, o)
+	c := objectclient.New(server.URL, o)
 	var last error
 	for range 3 {
 		_, last = c.VMs(context.Background())
--- a/internal/platform/usage.go
+++ b/internal/platform/objectclient/usage.go
@@ -1,4 +1,4 @@
-package platform
+package objectclient
 
 import "sync/atomic"
 
--- a/internal/proxy/components.go
+++ b/internal/proxy/components.go
@@ -20,6 +20,7 @@
 	"egretroad/internal/operator"
 	"egretroad/internal/peer"
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
 	"egretroad/internal/txn"
@@ -73,11 +74,11 @@
 }
 
 func newStore(s config.Settings, m *metrics.Registry) platform.Store {
-	o := platform.DefaultClientOptions()
+	o := objectclient.DefaultOptions()
 	o.BindIP = s.VM.Address
 	o.CallTimeout = s.Platform.Timeout.D()
 	o.ReadsPerSecond, o.WritesPerSecond = s.Platform.CallsPerSecond, s.Platform.CallsPerSecond
-	c := platform.NewClient(s.Platform.URL, o)
+	c := objectclient.New(s.Platform.URL, o)
 	m.Set("platform", "calls", expvar.Func(func() any { return c.Counts() }))
 	return c
 }
--- a/tools/measure/control/control.go
+++ b/tools/measure/control/control.go
@@ -11,6 +11,7 @@
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/platform"
+	"egretroad/internal/platform/objectclient"
 	"egretroad/internal/standin/deployment"
 	"egretroad/tools/measure/fleet"
 	"egretroad/tools/measure/report"
@@ -272,7 +273,7 @@
 		Received int64 `json:"control_received_bytes"`
 	} `json:"peer"`
 	Platform struct {
-		Calls map[platform.Call]platform.CallCount `json:"calls"`
+		Calls map[objectclient.Call]objectclient.CallCount `json:"calls"`
 	} `json:"platform"`
 }
 
@@ -320,12 +321,12 @@
 	return err
 }
 
-func (c *counters) addCalls(call platform.Call, n platform.CallCount) {
+func (c *counters) addCalls(call objectclient.Call, n objectclient.CallCount) {
 	c.storeBytes += n.SentBytes + n.ReceivedBytes
 	switch call {
-	case platform.CallPut, platform.CallDelete:
+	case objectclient.CallPut, objectclient.CallDelete:
 		c.writes += n.Calls
-	case platform.CallWatch:
+	case objectclient.CallWatch:
 		c.watches += n.Calls
 		c.reads += n.Calls
 	default:
