Use one piece of code where a lane gives its connection up and a statement waits

Cause: two functions of a lane took its connection away with the same lines, and the stand-in's sleep and wait had the same selection of interrupts. Change: giveUpConnection in internal/home, waitOn in internal/standin/pgserver. Conclusion: the tests of both packages pass unchanged with the race detector.

--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -289,10 +289,7 @@
 // leaveServer rolls an open transaction back and gives the connection and the
 // slot to others. Repeated calls do nothing.
 func (l *lane) leaveServer() {
-	l.mu.Lock()
-	conn := l.conn
-	l.conn = nil
-	l.mu.Unlock()
+	conn := l.giveUpConnection()
 	if conn == nil {
 		return
 	}
@@ -305,6 +302,16 @@
 	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
 }
 
+// giveUpConnection returns the lane's connection, which then is the caller's; nil
+// when the lane has none.
+func (l *lane) giveUpConnection() *pool.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn := l.conn
+	l.conn = nil
+	return conn
+}
+
 // guard starts a timer that takes the connection away from a caller that does
 // not read its answer by the statement's deadline.
 func (l *lane) guard() *time.Timer {
@@ -314,10 +321,7 @@
 
 // abandon closes the connection in the middle of an answer.
 func (l *lane) abandon() {
-	l.mu.Lock()
-	conn := l.conn
-	l.conn = nil
-	l.mu.Unlock()
+	conn := l.giveUpConnection()
 	if conn == nil {
 		return
 	}
--- a/internal/standin/pgserver/link.go
+++ b/internal/standin/pgserver/link.go
@@ -133,22 +133,16 @@
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
-	return c.await(func(timeout <-chan time.Time) error {
-		select {
-		case <-timer.C:
-			return nil
-		case <-c.interrupt:
-			return errCancelled
-		case <-timeout:
-			return errStatementTimeout
-		case <-c.dropped:
-			return &connectionLostError{reason: "dropped"}
-		}
-	})
+	return waitOn(c, timer.C)
 }
 
 // waitFor waits until done is closed, as part of the running statement.
 func (c *conn) waitFor(done <-chan struct{}) error {
+	return waitOn(c, done)
+}
+
+// waitOn waits until done yields or is closed, unless the statement is interrupted.
+func waitOn[T any](c *conn, done <-chan T) error {
 	return c.await(func(timeout <-chan time.Time) error {
 		select {
 		case <-done:
