--- /dev/null
+++ b/internal/broker/lane.go
@@ -0,0 +1,353 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"egretroad/internal/admission"
+	"egretroad/internal/clock"
+	"egretroad/internal/outcome"
+	"egretroad/internal/statement"
+)
+
+// lane is one transaction, or one single statement, on a connection.
+type lane struct {
+	s         *server
+	id        admission.ID
+	plain     bool // the transaction may write, so the server must lead
+	wrote     bool // a statement of the transaction wrote
+	idleLimit time.Duration
+
+	mu       sync.Mutex // held while a statement runs; guards the fields below
+	conn     *pooled
+	slot     bool
+	ended    bool
+	lastUsed time.Duration // on CLOCK_BOOTTIME
+	busy     bool
+	useMu    sync.Mutex // guards lastUsed and busy
+}
+
+// defaultIdle is the longest pause inside a transaction that names none.
+const defaultIdle = 5 * time.Second
+
+// idleMargin is added to a transaction's longest pause: the session's VM ends it
+// first.
+const idleMargin = time.Second
+
+// idleFor returns how long the lane has waited for its next statement.
+func (l *lane) idleFor(now time.Duration) time.Duration {
+	l.useMu.Lock()
+	defer l.useMu.Unlock()
+	if l.busy {
+		return 0
+	}
+	return now - l.lastUsed
+}
+
+func (l *lane) setBusy(busy bool) {
+	l.useMu.Lock()
+	defer l.useMu.Unlock()
+	l.busy, l.lastUsed = busy, clock.Boottime()
+}
+
+// run runs one statement.
+func (s *server) run(ctx context.Context, r Request) Result {
+	s.mu.Lock()
+	s.lastWork = clock.Boottime()
+	l := s.lanes[r.Lane]
+	s.mu.Unlock()
+	switch {
+	case r.Joined && l == nil:
+		return Result{Outcome: NotRun, Reason: outcome.ReasonTxnAborted, Detail: "the transaction has ended and was rolled back"}
+	case r.Joined:
+		return l.next(ctx, r)
+	default:
+		return s.open(ctx, r)
+	}
+}
+
+// open admits new work, gives it a connection and runs its statement.
+func (s *server) open(ctx context.Context, r Request) Result {
+	if refused := s.refusal(); refused != nil {
+		return *refused
+	}
+	began := s.now()
+	l := s.newLane(r)
+	ctx, cancel := context.WithTimeout(ctx, r.QueueFor)
+	defer cancel()
+	effect, err := s.await(ctx, admission.Event{Type: admission.EventOffer, Work: admission.Work{
+		ID: l.id, Entry: r.Entry, Kind: r.Entry, Owner: r.Entry, Caller: r.Caller, Rank: r.Rank,
+		Deadline: began + r.QueueFor, Bytes: len(r.Statement.Text),
+	}}, l.id)
+	if refused := queueRefusal(effect, err); refused != nil {
+		refused.Waited = s.now() - began
+		return *refused
+	}
+	conn, err := s.conns.take(ctx, r.Settings)
+	if err != nil {
+		s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+		return Result{Outcome: NotRun, Reason: outcome.ReasonConnect, Detail: err.Error(), Waited: s.now() - began}
+	}
+	l.conn, l.slot = conn, true
+	waited := s.now() - began
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Begin != 0 {
+		s.mu.Lock()
+		s.lanes[r.Lane] = l
+		s.mu.Unlock()
+	}
+	l.setBusy(true)
+	result := l.first(r)
+	result.Waited = waited
+	l.after(r, &result)
+	return result
+}
+
+// queueRefusal turns a refusal by the queue into a result; nil for a grant.
+func queueRefusal(effect admission.Effect, err error) *Result {
+	if err != nil {
+		return &Result{Outcome: NotRun, Reason: outcome.ReasonDeadline, Detail: "no slot in time"}
+	}
+	if effect.Type == admission.EffectGrant {
+		return nil
+	}
+	return &Result{Outcome: NotRun, Reason: effect.Reason, RetryAfter: effect.RetryAfter, Detail: "refused by the queue"}
+}
+
+func (s *server) newLane(r Request) *lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	limit := r.IdleFor
+	if limit <= 0 {
+		limit = defaultIdle
+	}
+	return &lane{s: s, id: s.nextID, plain: r.Begin == statement.Begin, idleLimit: limit + idleMargin}
+}
+
+// first adapts the connection, opens the transaction if one is asked for, and
+// runs the statement. A connection that broke before the statement was sent is
+// replaced once.
+func (l *lane) first(r Request) Result {
+	result, usable := l.prepare(r)
+	if !usable && result.Reason == outcome.ReasonConnLost {
+		if conn := l.replace(r); conn {
+			result, usable = l.prepare(r)
+		}
+	}
+	if !usable {
+		return result
+	}
+	return l.execute(r)
+}
+
+// replace gives a broken connection up for an idle one.
+func (l *lane) replace(r Request) bool {
+	l.s.conns.discard(l.conn)
+	l.conn = nil
+	ctx, cancel := context.WithTimeout(l.s.ctx, min(r.QueueFor, l.s.options.ConnectTimeout))
+	defer cancel()
+	conn, err := l.s.conns.take(ctx, r.Settings)
+	if err != nil {
+		return false
+	}
+	l.conn = conn
+	return true
+}
+
+// prepare sends what must precede the statement and waits for its answers: a
+// statement sent behind a refused BEGIN would run outside the transaction.
+func (l *lane) prepare(r Request) (Result, bool) {
+	commands := l.conn.adapt(r)
+	begin := r.Begin
+	if r.Leading {
+		begin = statement.Begin
+	}
+	if !r.Joined && begin != 0 {
+		c := own(begin)
+		c.After = r.After
+		commands = append(commands, c)
+	}
+	if len(commands) == 0 {
+		return Result{}, true
+	}
+	asked := clock.Boottime()
+	replies, err := l.conn.Run(time.Now().Add(l.s.options.ProbeTimeout), commands...)
+	l.s.note(asked, err)
+	if err != nil {
+		return Result{Outcome: NotRun, Reason: outcome.ReasonConnLost, Detail: err.Error()}, false
+	}
+	for i, reply := range replies {
+		if reply.OK() {
+			continue
+		}
+		isBegin := commands[i].Verb == statement.Begin || commands[i].Verb == statement.BeginRead
+		if !isBegin {
+			// The connection does not have what was noted as done.
+			l.conn.settings, l.conn.prepared = map[string]string{"": ""}, map[string]bool{}
+			return Result{Outcome: NotRun, Reason: outcome.ReasonUnavailable, Code: reply.Code, Detail: reply.Detail}, false
+		}
+		return Result{Outcome: NotRun, Reason: refusalReason(reply.Code), Code: reply.Code, Detail: reply.Detail}, false
+	}
+	if begin == statement.Begin && len(replies) > 0 {
+		l.s.health.prove(Proof{Mark: replies[len(replies)-1].Mark}, asked)
+	}
+	return Result{}, true
+}
+
+// refusalReason names a server's refusal.
+func refusalReason(code statement.Code) outcome.Reason {
+	switch code {
+	case statement.ReadOnly:
+		return outcome.ReasonReplaced
+	case statement.Behind:
+		return outcome.ReasonBehind
+	case statement.Busy:
+		return outcome.ReasonQueueFull
+	case statement.TooManyConnections, statement.WrongServer:
+		return outcome.ReasonConnect
+	default:
+		return outcome.ReasonUnavailable
+	}
+}
+
+// execute sends the statement itself.
+func (l *lane) execute(r Request) Result {
+	command := statement.Command{Statement: r.Statement}
+	if r.Prepared != nil {
+		command.Name = preparedName(*r.Prepared)
+	}
+	if r.Begin == 0 && !r.Joined && !r.Leading && !r.Statement.Writes {
+		command.After = r.After
+	}
+	asked := clock.Boottime()
+	replies, err := l.conn.Run(time.Now().Add(r.RunFor), command)
+	ran := clock.Boottime() - asked
+	l.s.note(asked, err)
+	if err != nil {
+		reason := outcome.ReasonConnLost
+		var broken *BrokenError
+		if errors.As(err, &broken) && broken.Timeout {
+			reason = outcome.ReasonStatementTime
+		}
+		return Result{Outcome: Lost, Reason: reason, Detail: err.Error(), Ran: ran}
+	}
+	reply := replies[0]
+	l.wrote = l.wrote || r.Statement.Writes && reply.OK()
+	if reply.Code == statement.UnknownPrepared {
+		clear(l.conn.prepared)
+	}
+	result := Result{Outcome: Ran, Reply: reply, Ran: ran}
+	if reply.OK() && (l.plain && r.Statement.Verb != statement.Commit || l.wrote || r.Leading) {
+		l.s.health.prove(Proof{Mark: reply.Mark}, asked)
+		result.Proof = Proof{Mark: reply.Mark, Age: ran}
+	}
+	return result
+}
+
+// next runs a further statement of an open transaction.
+func (l *lane) next(ctx context.Context, r Request) Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return Result{Outcome: NotRun, Reason: outcome.ReasonTxnAborted, Detail: "the transaction has ended and was rolled back"}
+	}
+	l.setBusy(true)
+	began := l.s.now()
+	if !l.slot {
+		effect, err := l.s.await(ctx, admission.Event{Type: admission.EventStatement, ID: l.id, Deadline: began + r.QueueFor}, l.id)
+		if refused := queueRefusal(effect, err); refused != nil {
+			l.finish(r.Lane, true)
+			return *refused
+		}
+		l.slot = true
+	}
+	waited := l.s.now() - began
+	result, usable := l.prepare(r)
+	if usable {
+		result = l.execute(r)
+	}
+	result.Waited = waited
+	l.after(r, &result)
+	return result
+}
+
+// after gives up the slot, and the connection unless a transaction stays open.
+// The caller holds mu.
+func (l *lane) after(r Request, result *Result) {
+	inTxn := r.Begin != 0 || r.Joined
+	open := inTxn && result.Outcome == Ran && result.Reply.State == statement.InTxn
+	if open {
+		l.slot = false
+		l.s.step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
+		l.setBusy(false)
+		return
+	}
+	broken := result.Outcome == Lost || result.Outcome == NotRun && result.Reason == outcome.ReasonConnLost
+	rollBack := r.Leading && result.Outcome == Ran ||
+		inTxn && (result.Outcome == Ran && result.Reply.State != statement.Idle || r.Joined && result.Outcome == NotRun)
+	if broken && l.conn != nil {
+		l.s.conns.discard(l.conn)
+		l.conn = nil
+	}
+	l.finish(r.Lane, rollBack)
+}
+
+// finish ends the lane: an open transaction is rolled back, the connection and
+// the slot go to others. The caller holds mu.
+func (l *lane) finish(id LaneID, rollBack bool) {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.s.mu.Lock()
+	if l.s.lanes[id] == l {
+		delete(l.s.lanes, id)
+	}
+	l.s.mu.Unlock()
+	conn := l.conn
+	l.conn = nil
+	if conn != nil && rollBack {
+		if l.slot {
+			// A rollback takes no slot at the server.
+			l.slot = false
+			l.s.step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
+		}
+		replies, err := conn.Run(time.Now().Add(l.s.options.ProbeTimeout), own(statement.Rollback))
+		if err != nil || replies[0].State != statement.Idle {
+			l.s.conns.discard(conn)
+			conn = nil
+		}
+	}
+	if conn != nil {
+		l.s.conns.put(conn)
+	}
+	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+}
+
+// release ends a lane whose session has no further use for it.
+func (s *server) release(id LaneID) {
+	s.mu.Lock()
+	l := s.lanes[id]
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.finish(id, true)
+}
+
+// abandon closes the lane's connection, which rolls its transaction back.
+func (l *lane) abandon() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/broker/manager.go
@@ -0,0 +1,300 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"egretroad/internal/admission"
+	"egretroad/internal/clock"
+	"egretroad/internal/outcome"
+	"egretroad/internal/topology"
+)
+
+// Options are the parameters of the homes.
+type Options struct {
+	Admission admission.Options
+	// ConnectTimeout bounds the opening of a connection, which takes a busy server
+	// tens of milliseconds.
+	ConnectTimeout time.Duration
+	// ProbeTimeout bounds a statement of the proxy's own.
+	ProbeTimeout time.Duration
+	// ReservedConnections of a server's limit stay free for the proof connection,
+	// for other VMs that stand in, and for a home that takes over.
+	ReservedConnections int
+	// StandInConnections bounds the connections of a VM that is not the home.
+	StandInConnections int
+	// DefaultConnections is the limit of a server that names none.
+	DefaultConnections int
+	// IdleStandIn is how long a VM that is not the home keeps connections unused.
+	IdleStandIn time.Duration
+	// LeavingPrimary is how long a leaving primary may take new work while a
+	// replica takes over; within the time that the platform allows.
+	LeavingPrimary time.Duration
+	// Maintenance is the time between two rounds of upkeep.
+	Maintenance time.Duration
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		Admission:           admission.DefaultOptions(),
+		ConnectTimeout:      time.Second,
+		ProbeTimeout:        500 * time.Millisecond,
+		ReservedConnections: 4,
+		StandInConnections:  2,
+		DefaultConnections:  8,
+		IdleStandIn:         3 * time.Second,
+		LeavingPrimary:      5 * time.Second,
+		Maintenance:         200 * time.Millisecond,
+	}
+}
+
+// Manager implements Broker for servers that this VM can reach.
+type Manager struct {
+	options   Options
+	source    topology.Source
+	connector Connector
+	log       hclog.Logger
+	ctx       context.Context
+	cancel    context.CancelFunc
+
+	mu      sync.Mutex // guards servers
+	servers map[string]*server
+}
+
+var _ Broker = (*Manager)(nil)
+
+// New returns a manager that is not started yet.
+func New(o Options, source topology.Source, connector Connector, log hclog.Logger) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{
+		options: o, source: source, connector: connector, log: log,
+		ctx: ctx, cancel: cancel, servers: map[string]*server{},
+	}
+}
+
+// Start follows the snapshots in force until Stop.
+func (m *Manager) Start() { go m.maintain() }
+
+// Stop closes every connection.
+func (m *Manager) Stop() {
+	m.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, s := range m.servers {
+		s.close()
+		delete(m.servers, id)
+	}
+}
+
+func (m *Manager) maintain() {
+	ticker := time.NewTicker(m.options.Maintenance)
+	defer ticker.Stop()
+	changed := m.source.Changed()
+	for {
+		m.follow(m.source.Snapshot())
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-changed:
+			changed = m.source.Changed()
+		}
+	}
+}
+
+// follow takes up the servers that this VM is home of, and gives up what it no
+// longer serves.
+func (m *Manager) follow(snapshot *topology.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, g := range snapshot.Groups {
+		for _, spec := range g.Servers {
+			if snapshot.Homes[spec.ID] == snapshot.Self {
+				m.take(snapshot, g, spec)
+			}
+		}
+	}
+	for id, s := range m.servers {
+		g, spec, known := snapshot.FindServer(id)
+		if !known || spec.Born != s.spec.Born || spec.Addr != s.spec.Addr {
+			delete(m.servers, id)
+			s.close()
+			m.log.Info("server_dropped", "server", id, "registered", known, "born", s.spec.Born)
+			continue
+		}
+		s.update(newView(m.options, snapshot, g, spec))
+		if s.upkeep() {
+			delete(m.servers, id)
+			s.close()
+			m.log.Info("stand_in_ended", "server", id)
+		}
+	}
+}
+
+// take returns the server, adding it if need be. The caller holds mu.
+func (m *Manager) take(snapshot *topology.Snapshot, g *topology.Group, spec topology.Server) *server {
+	if s := m.servers[spec.ID]; s != nil && s.spec.Born == spec.Born && s.spec.Addr == spec.Addr {
+		return s
+	}
+	if old := m.servers[spec.ID]; old != nil {
+		old.close()
+	}
+	v := newView(m.options, snapshot, g, spec)
+	s := newServer(m.ctx, m.options, m.connector, m.log, v)
+	m.servers[spec.ID] = s
+	m.log.Info("server_taken", "server", spec.ID, "born", spec.Born, "addr", spec.Addr, "home", v.home, "revision", snapshot.Revision)
+	return s
+}
+
+// find returns a server that the snapshot in force contains.
+func (m *Manager) find(id string) (*server, error) {
+	snapshot := m.source.Snapshot()
+	g, spec, known := snapshot.FindServer(id)
+	if !known || m.ctx.Err() != nil {
+		return nil, &UnknownServerError{Server: id}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.take(snapshot, g, spec), nil
+}
+
+// Run implements Broker.
+func (m *Manager) Run(ctx context.Context, r Request) Result {
+	s, err := m.find(r.Server)
+	if err != nil {
+		return Result{Outcome: NotRun, Reason: outcome.ReasonNoServer, Detail: err.Error()}
+	}
+	return s.run(ctx, r)
+}
+
+// Release implements Broker.
+func (m *Manager) Release(_, server string, lane LaneID) {
+	m.mu.Lock()
+	s := m.servers[server]
+	m.mu.Unlock()
+	if s != nil {
+		s.release(lane)
+	}
+}
+
+// Position implements Broker.
+func (m *Manager) Position(ctx context.Context, server string, maxAge time.Duration) (Proof, error) {
+	s, err := m.find(server)
+	if err != nil {
+		return Proof{}, err
+	}
+	return s.position(ctx, maxAge)
+}
+
+// Standing implements Broker.
+func (m *Manager) Standing(ctx context.Context, server string) (Standing, error) {
+	s, err := m.find(server)
+	if err != nil {
+		return Standing{}, err
+	}
+	return s.admin.standing(ctx)
+}
+
+// Silence returns how long a server has not answered this VM while it was asked,
+// and the last error; zero while it answers.
+func (m *Manager) Silence(server string) (time.Duration, error) {
+	s, err := m.find(server)
+	if err != nil {
+		return 0, err
+	}
+	return s.health.silence(clock.Boottime())
+}
+
+// Probe asks a server for an answer, whatever its role.
+func (m *Manager) Probe(ctx context.Context, server string) error {
+	s, err := m.find(server)
+	if err != nil {
+		return err
+	}
+	_, err = s.position(ctx, 0)
+	if refused, ok := err.(*RefusedError); ok && refused != nil {
+		return nil
+	}
+	return err
+}
+
+// Hold lets a server take no new work until a time on CLOCK_BOOTTIME, while a
+// replica takes over from it.
+func (m *Manager) Hold(server string, until time.Duration) {
+	m.mu.Lock()
+	s := m.servers[server]
+	m.mu.Unlock()
+	if s != nil {
+		s.hold(until)
+	}
+}
+
+// view is what a server takes from a snapshot.
+type view struct {
+	database string
+	spec     topology.Server
+	home     bool // this VM is the server's home
+	primary  bool // as the server registered itself
+	limit    int  // connections for work
+}
+
+func newView(o Options, snapshot *topology.Snapshot, g *topology.Group, spec topology.Server) view {
+	v := view{
+		database: g.Database, spec: spec, home: snapshot.Homes[spec.ID] == snapshot.Self,
+		primary: g.Primary == spec.ID, limit: o.StandInConnections,
+	}
+	if v.home {
+		v.limit = max(1, connectionLimit(o, snapshot, g.Database)-o.ReservedConnections)
+	}
+	return v
+}
+
+// connectionLimit returns a server's limit on connections from all VMs.
+func connectionLimit(o Options, snapshot *topology.Snapshot, database string) int {
+	for _, name := range snapshot.Catalogue.Names() {
+		if e, _ := snapshot.Catalogue.Entry(name); e.GroupName() == database && e.ServerConnections > 0 {
+			return e.ServerConnections
+		}
+	}
+	return o.DefaultConnections
+}
+
+// Drain waits until no transaction is open here, or ctx ends.
+func (m *Manager) Drain(ctx context.Context) {
+	for m.openLanes() > 0 {
+		select {
+		case <-ctx.Done():
+			m.log.Warn("lanes_cut", "open", m.openLanes())
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+// drainPoll is the time between two looks at open transactions during a stop.
+const drainPoll = 20 * time.Millisecond
+
+func (m *Manager) openLanes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, s := range m.servers {
+		n += s.busy()
+	}
+	return n
+}
+
+// Dump returns the state for operators.
+func (m *Manager) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]any, len(m.servers))
+	for id, s := range m.servers {
+		out[id] = s.dump()
+	}
+	return out
+}
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -62,6 +62,32 @@
 	Deadline       Millis  `json:"deadlineMs"`               // from arrival to answer
 	IdleInTxn      Millis  `json:"idleInTxnMs,omitempty"`    // idle time inside an open transaction
 	MaxQueueLength int     `json:"maxQueueLength,omitempty"` // waiting transactions per server; 0: the default
+	// Group is the database group that serves the entry; empty: Database.
+	Group string `json:"group,omitempty"`
+	// Objective is the latency that callers are promised for a whole operation; 0: none.
+	Objective Millis `json:"objectiveMs,omitempty"`
+	// Freshness says what reads must see beyond MaxAge; empty: own writes.
+	Freshness Freshness `json:"freshness,omitempty"`
+	// ServerConnections bounds the connections to one server of the group; 0: the server's own figure.
+	ServerConnections int `json:"serverConnections,omitempty"`
+}
+
+// Freshness says which commits a read must see.
+type Freshness string
+
+// Kinds of freshness.
+const (
+	FreshLatest Freshness = "latest" // every commit acknowledged before the read
+	FreshOwn    Freshness = "own"    // the session's commits, and others by age
+	FreshAge    Freshness = "age"    // commits older than MaxAge
+)
+
+// GroupName returns the database group that serves the entry.
+func (e Entry) GroupName() string {
+	if e.Group != "" {
+		return e.Group
+	}
+	return e.Database
 }
 
 // Catalogue is an immutable index of valid entries.
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -50,7 +50,17 @@
 		fault("access", fmt.Sprintf("%.80q", e.Access), `"read" or "write"`)
 	}
 	checkRange("maxAgeMs", int64(e.MaxAge), 0, MaxAgeLimitMS, " ms")
-	if e.Access == AccessWrite && e.MaxAge != 0 {
+	checkRange("objectiveMs", int64(e.Objective), 0, MaxDeadlineMS, " ms")
+	checkRange("serverConnections", int64(e.ServerConnections), 0, MaxConcurrency, " connections")
+	if len(e.Group) > MaxNameBytes {
+		fault("group", fmt.Sprintf("%.80q", e.Group), fmt.Sprintf("at most %d bytes", MaxNameBytes))
+	}
+	switch e.Freshness {
+	case "", FreshLatest, FreshOwn, FreshAge:
+	default:
+		fault("freshness", fmt.Sprintf("%.80q", e.Freshness), `"latest", "own" or "age"`)
+	}
+	if e.Access == AccessWrite && e.MaxAge != 0 && e.Freshness == "" {
 		fault("maxAgeMs", e.MaxAge, "0 for a write kind")
 	}
 	switch e.Confirm {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -35,6 +35,7 @@
 	sync     syncState
 	status   statusState
 	snapshot snapshotState
+	servers  registrations
 	salt     uint64 // makes each jitter different
 }
 
@@ -49,6 +50,7 @@
 		sync:     newSyncState(),
 		status:   newStatusState(),
 		snapshot: newSnapshotState(cfg.Self.ID),
+		servers:  newRegistrations(),
 	}
 }
 
@@ -117,6 +119,7 @@
 	m.fetchWhenDue()
 	m.reportWhenDue()
 	m.members.forget(now)
+	m.releaseServers()
 }
 
 // start reads the store and asks seeds for a copy, whichever answers first.
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -46,6 +46,7 @@
 	entry   *catalogue.Entry
 	group   *topology.Group
 	vms     *platform.VMList
+	server  *topology.Registration
 }
 
 // present reports whether the object has a value in force.
@@ -132,6 +133,12 @@
 			return err
 		}
 		o.group = g
+	case platform.KindServer:
+		r := &topology.Registration{}
+		if err := json.Unmarshal(value, r); err != nil {
+			return &ValueError{Object: "server/" + o.record.Name, Cause: err}
+		}
+		o.server = r
 	case kindVMs:
 		l := &platform.VMList{}
 		if err := json.Unmarshal(value, l); err != nil {
@@ -144,7 +151,7 @@
 
 // keepGood leaves the value of an earlier version in force.
 func (o *object) keepGood(old *object) {
-	o.inForce, o.entry, o.group, o.vms, o.since = old.inForce, old.entry, old.group, old.vms, old.since
+	o.inForce, o.entry, o.group, o.vms, o.server, o.since = old.inForce, old.entry, old.group, old.vms, old.server, old.since
 	o.record.GoodVersion, o.record.Good = old.record.GoodVersion, old.record.Good
 	if old.fault == nil {
 		o.record.GoodVersion, o.record.Good = old.record.Version, old.record.Value
@@ -263,7 +270,7 @@
 // spreadKind reports whether objects of a kind spread between peers. Leases do
 // not: they are read where they are used.
 func spreadKind(kind string) bool {
-	return kind == platform.KindCatalogue || kind == platform.KindGroup || kind == kindVMs
+	return kind == platform.KindCatalogue || kind == platform.KindGroup || kind == platform.KindServer || kind == kindVMs
 }
 
 // decodeGroup reads and checks the value of a group object.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
 
@@ -31,6 +32,26 @@
 	ReportDelay   time.Duration // how long the watcher waits for the VMs' reports
 	ReportRefresh time.Duration // between repeated reports to the watcher
 	WaitingNotice time.Duration // between log lines while there is no catalogue
+	// Registrations says that servers register themselves, each as an object of
+	// its own, and that no group objects exist.
+	Registrations bool
+	// RegistrationHold is how long a server whose registration ended without
+	// notice is kept: registrations lapse while the store is away and return
+	// shortly after it.
+	RegistrationHold time.Duration
+	// WatchEverywhere lets every VM watch the store, so that news does not depend
+	// on one VM of the data centre.
+	WatchEverywhere bool
+	// NoReports leaves out the status objects for operators.
+	NoReports bool
+}
+
+// groupKind returns the kind of object that groups are built from.
+func (o Options) groupKind() string {
+	if o.Registrations {
+		return platform.KindServer
+	}
+	return platform.KindGroup
 }
 
 // DefaultOptions returns the options of a proxy.
@@ -59,6 +80,8 @@
 		ReportDelay:   time.Second,
 		ReportRefresh: 10 * time.Second,
 		WaitingNotice: 10 * time.Second,
+
+		RegistrationHold: 2500 * time.Millisecond,
 	}
 }
 
--- /dev/null
+++ b/internal/control/registrations.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"egretroad/internal/placement"
+	"egretroad/internal/platform"
+	"egretroad/internal/topology"
+)
+
+// registrations holds the servers that registered themselves, and those whose
+// registration ended a short while ago.
+type registrations struct {
+	current map[string]registered // by server ID
+	held    map[string]heldServer
+}
+
+// registered is a registration in force.
+type registered struct {
+	value   *topology.Registration
+	version uint64
+}
+
+// heldServer is a server whose registration ended without notice.
+type heldServer struct {
+	registered
+	until time.Duration
+}
+
+func newRegistrations() registrations {
+	return registrations{current: map[string]registered{}, held: map[string]heldServer{}}
+}
+
+// registrationChanged takes a changed or ended registration in. A server that had
+// announced to leave is dropped at once, any other is held for a while.
+func (m *Machine) registrationChanged(id string, o *object) {
+	old, known := m.servers.current[id]
+	if known {
+		m.snapshot.groups[old.value.Database] = true
+	}
+	if !o.present() {
+		delete(m.servers.current, id)
+		if known && old.value.Server.State != topology.ServerLeaving {
+			m.servers.held[id] = heldServer{registered: old, until: m.now + m.opts.RegistrationHold}
+		}
+		return
+	}
+	delete(m.servers.held, id)
+	m.servers.current[id] = registered{value: o.server, version: o.inForce}
+	m.snapshot.groups[o.server.Database] = true
+}
+
+// releaseServers drops held servers whose time is over.
+func (m *Machine) releaseServers() {
+	for id, h := range m.servers.held {
+		if m.now < h.until {
+			continue
+		}
+		delete(m.servers.held, id)
+		m.snapshot.groups[h.value.Database] = true
+		m.log("server_gone", "server", id, "database", h.value.Database, "version", h.version)
+		m.publishWhenDue()
+	}
+}
+
+// groupOf returns a database's group; nil when there is none.
+func (m *Machine) groupOf(database string) *topology.Group {
+	if !m.opts.Registrations {
+		if o := m.objects.objects[objectKey{platform.KindGroup, database}]; o != nil && o.present() {
+			return o.group
+		}
+		return nil
+	}
+	return m.groupOfRegistrations(database)
+}
+
+// groupOfRegistrations builds a group of the servers that registered for it. Of
+// several that call themselves primary the last to say so counts. A held server
+// gives way to another one at its address.
+func (m *Machine) groupOfRegistrations(database string) *topology.Group {
+	g := &topology.Group{Database: database}
+	addresses := map[string]bool{}
+	var primary uint64
+	add := func(id string, r registered) {
+		if r.value.Database != database {
+			return
+		}
+		g.Servers = append(g.Servers, r.value.Server)
+		addresses[r.value.Server.Addr] = true
+		if r.value.Role == topology.RolePrimary && r.version > primary {
+			g.Primary, primary = id, r.version
+		}
+	}
+	for id, r := range m.servers.current {
+		add(id, r)
+	}
+	for id, h := range m.servers.held {
+		if !addresses[h.value.Server.Addr] {
+			add(id, h.registered)
+		}
+	}
+	if len(g.Servers) == 0 {
+		return nil
+	}
+	sort.Slice(g.Servers, func(i, j int) bool { return g.Servers[i].ID < g.Servers[j].ID })
+	return g
+}
+
+// homesChanged reports whether the home of a server must be computed again.
+func (m *Machine) homesChanged(server topology.Server) bool {
+	if m.snapshot.homes[server.DataCentre] {
+		return true
+	}
+	return m.opts.Registrations && len(m.snapshot.homes) > 0 && len(m.members.eligible(server.DataCentre)) == 0
+}
+
+// distantHome picks a home for a server whose data centre has no VM: one of its
+// region, else any.
+func (m *Machine) distantHome(server topology.Server) string {
+	region := m.members.ids(func(x *member) bool { return x.takesHomes() && x.vm.Region == server.Region })
+	if len(region) > 0 {
+		return placement.Pick(server.ID, region)
+	}
+	return placement.Pick(server.ID, m.members.ids((*member).takesHomes))
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -172,13 +172,13 @@
 			}
 		}
 		delete(groups, database)
-		if o := m.objects.objects[objectKey{platform.KindGroup, database}]; o != nil && o.present() {
-			groups[database] = o.group
+		if g := m.groupOf(database); g != nil {
+			groups[database] = g
 		}
 	}
 	for database, g := range groups {
 		for _, server := range g.Servers {
-			if m.snapshot.groups[database] || m.snapshot.homes[server.DataCentre] {
+			if m.snapshot.groups[database] || m.homesChanged(server) {
 				m.place(homes, server)
 			}
 		}
@@ -188,6 +188,9 @@
 
 func (m *Machine) place(homes map[string]string, server topology.Server) {
 	vm := m.placingOf(server.DataCentre).table.Pick(server.ID)
+	if vm == "" && m.opts.Registrations {
+		vm = m.distantHome(server)
+	}
 	if vm == "" {
 		delete(homes, server.ID)
 		return
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -56,7 +56,7 @@
 // report tells the watcher what is in force here, when that changed, when the
 // watcher changed, and from time to time.
 func (m *Machine) report() {
-	if !m.self.announced || m.ring.watcher == "" {
+	if !m.self.announced || m.ring.watcher == "" || m.opts.NoReports {
 		return
 	}
 	changed := m.status.unreported && m.complete >= m.objects.highest && !m.snapshot.dirty(true)
@@ -95,7 +95,7 @@
 // here, or after a delay.
 func (m *Machine) reportWhenDue() {
 	s := &m.status
-	if !s.dirty || !m.watcher() || !m.self.announced || s.write.busy || m.now < s.write.due {
+	if m.opts.NoReports || !s.dirty || !m.watcher() || !m.self.announced || s.write.busy || m.now < s.write.due {
 		return
 	}
 	status := m.dataCentreStatus()
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -39,13 +39,15 @@
 }
 
 // watcher reports whether this VM watches the store for its data centre.
-func (m *Machine) watcher() bool { return m.ring.watcher == m.cfg.Self.ID }
+func (m *Machine) watcher() bool {
+	return m.opts.WatchEverywhere || m.ring.watcher == m.cfg.Self.ID
+}
 
 // callStore starts the calls that are due.
 func (m *Machine) callStore() {
 	if !m.Ready() || m.store.relist {
 		m.callWhenDue(&m.store.catalogue, ListObjects{Kind: platform.KindCatalogue})
-		m.callWhenDue(&m.store.groups, ListObjects{Kind: platform.KindGroup})
+		m.callWhenDue(&m.store.groups, ListObjects{Kind: m.opts.groupKind()})
 	}
 	m.callWhenDue(&m.store.vms, ListVMs{})
 	if !m.Ready() || m.store.relist {
@@ -106,7 +108,7 @@
 // that have other objects, so what is relayed of it completes nobody.
 func (m *Machine) objectsListed(e ObjectsListed) {
 	c := &m.store.catalogue
-	if e.Kind == platform.KindGroup {
+	if e.Kind == m.opts.groupKind() {
 		c = &m.store.groups
 	}
 	m.ended(c, e.Err, m.opts.RetryMax)
@@ -144,7 +146,7 @@
 // listsComplete raises the complete revision once both kinds were listed.
 func (m *Machine) listsComplete() {
 	c, okCatalogue := m.store.listed[platform.KindCatalogue]
-	g, okGroups := m.store.listed[platform.KindGroup]
+	g, okGroups := m.store.listed[m.opts.groupKind()]
 	if !okCatalogue || !okGroups {
 		return
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -79,6 +79,10 @@
 		m.refuteList()
 		return
 	}
+	if key.kind == platform.KindServer {
+		m.registrationChanged(key.name, o)
+		return
+	}
 	m.snapshot.objectChanged(key)
 	if key.kind == platform.KindGroup {
 		m.emit(ShareObject{Record: o.record, From: o.from})
--- a/internal/peer/api.go
+++ b/internal/peer/api.go
@@ -32,6 +32,7 @@
 type UnreachableError struct {
 	VM     string
 	Method string
+	Unsent bool // the request has not left this VM
 	Cause  error
 }
 
--- a/internal/peer/method/method.go
+++ b/internal/peer/method/method.go
@@ -14,5 +14,10 @@
 	Status      = "status"       // control: version in force, for apply --wait
 	Evidence    = "evidence"     // authority: one-way, server health as a home sees it
 	LeaseAsk    = "lease_ask"    // authority: homes ask the data centre's delegate
+	Statement   = "statement"    // broker: one statement of a session
+	LaneRelease = "lane_release" // broker: one-way, a session has no further use for a lane
+	Proof       = "proof"        // broker: a position of the leading server
+	Standing    = "standing"     // broker: a server's own account of its place
+	Reach       = "reach"        // promotion: whether a VM reaches a server
 	Release     = "release"      // authority: a holder gives up (database, term)
 )
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -391,7 +391,7 @@
 	}
 	c, err := n.client(ctx, vm)
 	if err != nil {
-		return nil, &UnreachableError{VM: vm, Method: method, Cause: err}
+		return nil, &UnreachableError{VM: vm, Method: method, Unsent: true, Cause: err}
 	}
 	defer c.link.end()
 	return c.call(ctx, method, body)
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -17,6 +17,8 @@
 	KindGroup     = "group"     // value: topology.Group; name: the database
 	KindLease     = "lease"     // value: authority.LeaseObject; name: the data centre
 	KindStatus    = "status"    // value: status of a data centre, for operators; name: the data centre
+	KindServer    = "server"    // value: topology.Registration, written by the server itself; name: the server's ID
+	KindDuty      = "duty"      // value: promotion.Duty, who may promote servers of a group; name: the group
 	KindHistory   = "history"   // value: operate.History, the changes of one catalogue entry; name: the entry
 )
 
--- /dev/null
+++ b/internal/promotion/run/executor.go
@@ -0,0 +1,302 @@
+// Package run carries the effects of the promotion machine out.
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"egretroad/internal/broker"
+	"egretroad/internal/clock"
+	"egretroad/internal/peer"
+	"egretroad/internal/peer/method"
+	"egretroad/internal/platform"
+	"egretroad/internal/promotion"
+	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
+)
+
+// Times of the steps.
+const (
+	// witnessTimeout bounds the question to a witness, which probes the server.
+	witnessTimeout = 900 * time.Millisecond
+	// standingTimeout bounds the question to a candidate.
+	standingTimeout = 700 * time.Millisecond
+	// claimTimeout bounds a claim; a slow store answers within a quarter of it.
+	claimTimeout = 1500 * time.Millisecond
+	// promoteTimeout bounds the promotion call with its repetitions.
+	promoteTimeout = 2 * time.Second
+	// promoteRetry is the pause before a call without an answer is repeated.
+	promoteRetry = 200 * time.Millisecond
+	// handOverTimeout bounds the wait for the candidate to receive a leaving
+	// primary's log: many times the lag of a healthy replica.
+	handOverTimeout = 800 * time.Millisecond
+	// handOverPoll is the time between two looks at the candidate.
+	handOverPoll = 40 * time.Millisecond
+)
+
+// Deps are the parts that the executor works with.
+type Deps struct {
+	Self     string // VM
+	Start    uint64 // incarnation
+	Store    platform.Store
+	Peers    broker.Peers
+	Local    *broker.Manager
+	Fleet    broker.Broker
+	Promoter promotion.Promoter // nil: this deployment lets nobody promote
+	Log      hclog.Logger
+}
+
+// Executor carries the effects of the promotion machine out.
+type Executor struct {
+	deps Deps
+	post func(reducer.Event)
+
+	mu     sync.Mutex // guards claims
+	claims map[string]claim
+	count  uint64
+}
+
+// claim is the last claim of this VM on a group's duty.
+type claim struct {
+	version uint64 // of the object, also as last seen
+	token   uint64 // 0: none to use
+}
+
+// New registers the peer methods. Bind must be called before the first effect.
+func New(d Deps) *Executor {
+	x := &Executor{deps: d, claims: map[string]claim{}}
+	d.Peers.Handle(method.Reach, x.serveReach)
+	return x
+}
+
+// Bind sets where results go.
+func (x *Executor) Bind(post func(reducer.Event)) { x.post = post }
+
+// Execute implements reducer.Executor.
+func (x *Executor) Execute(ctx context.Context, effect reducer.Effect, _ func(reducer.Event)) bool {
+	switch e := effect.(type) {
+	case promotion.Probe:
+		x.run(func() reducer.Event { return x.probe(ctx, e) })
+	case promotion.AskWitnesses:
+		x.run(func() reducer.Event { return x.ask(ctx, e) })
+	case promotion.Elect:
+		x.run(func() reducer.Event { return x.elect(ctx, e) })
+	case promotion.Claim:
+		x.run(func() reducer.Event { return x.claim(ctx, e) })
+	case promotion.Promote:
+		x.run(func() reducer.Event { return x.promote(ctx, e) })
+	case promotion.Log:
+		x.deps.Log.Info(e.Event, e.Fields...)
+	default:
+		return false
+	}
+	return true
+}
+
+func (x *Executor) run(call func() reducer.Event) {
+	go func() { x.post(call()) }()
+}
+
+// probe asks a primary for an answer unless it has answered of late.
+func (x *Executor) probe(ctx context.Context, e promotion.Probe) reducer.Event {
+	err := x.deps.Local.Probe(ctx, e.Server)
+	silence, cause := x.deps.Local.Silence(e.Server)
+	if cause != nil {
+		err = cause
+	}
+	return promotion.Probed{Database: e.Database, Server: e.Server, Silence: silence, Err: err}
+}
+
+// reachAnswer answers method.Reach.
+type reachAnswer struct {
+	Reached bool `msgpack:"r"`
+}
+
+func (x *Executor) ask(ctx context.Context, e promotion.AskWitnesses) reducer.Event {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	body, err := msgpack.Marshal(e.Server)
+	if err != nil {
+		x.deps.Log.Error("witness_question_invalid", "error", err)
+		return promotion.WitnessesAsked{Database: e.Database, Server: e.Server}
+	}
+	answers := make(chan *reachAnswer, len(e.VMs))
+	for _, vm := range e.VMs {
+		go func() {
+			raw, err := x.deps.Peers.Call(ctx, vm, method.Reach, body)
+			var a reachAnswer
+			if err != nil || msgpack.Unmarshal(raw, &a) != nil {
+				x.deps.Log.Warn("witness_silent", "vm", vm, "server", e.Server, "error", err)
+				answers <- nil
+				return
+			}
+			answers <- &a
+		}()
+	}
+	result := promotion.WitnessesAsked{Database: e.Database, Server: e.Server}
+	for range e.VMs {
+		if a := <-answers; a != nil {
+			result.Answered++
+			if a.Reached {
+				result.Reached++
+			}
+		}
+	}
+	return result
+}
+
+func (x *Executor) serveReach(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var server string
+	if err := msgpack.Unmarshal(body, &server); err != nil {
+		return nil, &peer.FrameError{Detail: "decoding a question of reach", Cause: err}
+	}
+	err := x.deps.Local.Probe(ctx, server)
+	return msgpack.Marshal(&reachAnswer{Reached: err == nil})
+}
+
+// standing is one candidate's answer.
+type standing struct {
+	server string
+	value  broker.Standing
+	err    error
+}
+
+func (x *Executor) elect(ctx context.Context, e promotion.Elect) reducer.Event {
+	var target topology.Mark
+	if e.HandOver != "" {
+		x.deps.Local.Hold(e.HandOver, clock.Boottime()+handOverTimeout+claimTimeout)
+		proof, err := x.deps.Local.Position(ctx, e.HandOver, 0)
+		if err != nil {
+			x.deps.Log.Warn("hand_over_position_unknown", "server", e.HandOver, "error", err)
+		}
+		target = proof.Mark
+	}
+	end := clock.Boottime() + handOverTimeout
+	for {
+		best := x.best(ctx, e)
+		if best == nil {
+			return promotion.Elected{Database: e.Database}
+		}
+		if !best.value.Received.Less(target) || clock.Boottime() > end {
+			return promotion.Elected{
+				Database: e.Database, Server: best.server, Position: best.value.Received, Leads: best.value.Primary,
+			}
+		}
+		time.Sleep(handOverPoll)
+	}
+}
+
+// best returns the candidate that received most; nil when none answered.
+func (x *Executor) best(ctx context.Context, e promotion.Elect) *standing {
+	ctx, cancel := context.WithTimeout(ctx, standingTimeout)
+	defer cancel()
+	answers := make(chan standing, len(e.Candidates))
+	for _, id := range e.Candidates {
+		go func() {
+			value, err := x.deps.Fleet.Standing(ctx, id)
+			answers <- standing{server: id, value: value, err: err}
+		}()
+	}
+	var best *standing
+	for range e.Candidates {
+		a := <-answers
+		if a.err != nil {
+			x.deps.Log.Warn("candidate_silent", "database", e.Database, "server", a.server, "error", a.err)
+			continue
+		}
+		if best == nil || best.value.Received.Less(a.value.Received) ||
+			best.value.Received == a.value.Received && a.server < best.server {
+			best = &a
+		}
+	}
+	return best
+}
+
+// claim takes the duty for a group. While the store is away, a claim that this
+// VM holds already serves again: nobody else can have claimed meanwhile, or the
+// platform refuses the lower token.
+func (x *Executor) claim(ctx context.Context, e promotion.Claim) reducer.Event {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	x.mu.Lock()
+	known := x.claims[e.Database]
+	x.count++
+	duty := promotion.Duty{Holder: x.deps.Self, Start: x.deps.Start, Claim: x.count}
+	x.mu.Unlock()
+	version, err := x.write(ctx, e.Database, known.version, duty)
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		x.note(e.Database, claim{version: version, token: version})
+		return promotion.Claimed{Database: e.Database, Token: version}
+	case errors.As(err, &unavailable):
+		return promotion.Claimed{Database: e.Database, Token: known.token, Err: err}
+	default:
+		x.note(e.Database, claim{version: version})
+		return promotion.Claimed{Database: e.Database, Err: err}
+	}
+}
+
+// write claims the duty at a version. It returns the version of the claim, or of
+// the object that is there instead.
+func (x *Executor) write(ctx context.Context, database string, version uint64, duty promotion.Duty) (uint64, error) {
+	value, err := json.Marshal(duty)
+	if err != nil {
+		return version, &platform.InvalidValueError{Kind: platform.KindDuty, Name: database, Cause: err}
+	}
+	if version == 0 {
+		current, err := x.deps.Store.Get(ctx, platform.KindDuty, database)
+		var missing *platform.NotFoundError
+		if err != nil && !errors.As(err, &missing) {
+			return 0, err
+		}
+		version = current.Version
+	}
+	o, err := platform.PutOwn(ctx, x.deps.Store, platform.KindDuty, database, version, value, platform.SameValue(value))
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Current.Version, err
+	}
+	return o.Version, err
+}
+
+func (x *Executor) note(database string, c claim) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.claims[database] = c
+}
+
+// promote makes the call, again while there is no answer: it names the same
+// server with the same token, so that repetitions change nothing.
+func (x *Executor) promote(ctx context.Context, e promotion.Promote) reducer.Event {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	for {
+		err := x.deps.Promoter.Promote(ctx, e.Call)
+		var refused *promotion.RefusedError
+		if err == nil || errors.As(err, &refused) {
+			if refused != nil {
+				x.drop(e.Call.Database)
+			}
+			return promotion.Promoted{Call: e.Call, Err: err}
+		}
+		select {
+		case <-ctx.Done():
+			return promotion.Promoted{Call: e.Call, Err: err}
+		case <-time.After(promoteRetry):
+		}
+	}
+}
+
+// drop forgets a token that was refused; the object's version stays known.
+func (x *Executor) drop(database string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.claims[database] = claim{version: x.claims[database].version}
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -45,6 +45,16 @@
 	State          ServerState `json:"state"`
 	Slots          int         `json:"slots"`          // statements at the same time
 	MaxConnections int         `json:"maxConnections"` // connections, the admin connection included
+	// Born tells the starts of a server under one ID apart: Unix milliseconds; 0: not given.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Registration is the value of the platform object of kind "server", where
+// servers register themselves: what one says of itself. Its name is the server's ID.
+type Registration struct {
+	Server   Server `json:"server"`
+	Database string `json:"database"` // the group
+	Role     Role   `json:"role"`
 }
 
 // Group is the value of the platform object of kind "group": one database with
