Answer a read on a latest route outside a transaction; test the homes

Cause: the transaction that proves the lead is the proxy's own, but its state went into the caller's answer, and a caller that ends an operation outside a transaction's end closes its session. Found by the first test of the homes, which failed first.

Change: the state is the caller's own. Tests of the homes over the line protocol: leading reads are not sent to a server that does not lead, transactions keep their connection, abandoned ones expire, lost answers, closed connections, session values, slots, leaving servers, proofs, connection limits.

--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,298 @@
+package broker_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/broker"
+	"egretroad/internal/catalogue"
+	"egretroad/internal/eventlog"
+	"egretroad/internal/outcome"
+	"egretroad/internal/standin/linegroup"
+	"egretroad/internal/statement"
+	"egretroad/internal/topology"
+	"egretroad/platform"
+)
+
+// home is a home of one group's servers, over the line protocol.
+type home struct {
+	g       *WithT
+	group   *linegroup.Group
+	m       *broker.Manager
+	pub     *topology.Publisher
+	lane    uint64
+	laneMu  sync.Mutex
+	servers []topology.Server
+}
+
+func newHome(t *testing.T, lag time.Duration) *home {
+	g := NewWithT(t)
+	group, err := linegroup.New("orders", "s1", "s2")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(group.Close)
+	group.Lag = lag
+	h := &home{g: g, group: group}
+	for _, id := range []string{"s1", "s2"} {
+		h.servers = append(h.servers, topology.Server{ID: id, Addr: group.Server(id).Addr(), State: topology.ServerActive, Slots: 2, DataCentre: "a"})
+	}
+	h.pub = topology.NewPublisher(h.snapshot("s1"))
+	h.m = broker.New(broker.DefaultOptions(), h.pub, platform.NewConnector(platform.Settings{VM: "vm", Address: "127.0.0.1"}), eventlog.Discard())
+	h.m.Start()
+	t.Cleanup(h.m.Stop)
+	return h
+}
+
+func (h *home) snapshot(primary string) *topology.Snapshot {
+	return &topology.Snapshot{
+		Self: "vm", Catalogue: catalogue.New(nil),
+		Groups: map[string]*topology.Group{"orders": {Database: "orders", Primary: primary, Servers: h.servers}},
+		VMs:    map[string]topology.VM{"vm": {ID: "vm"}},
+		Homes:  map[string]string{"s1": "vm", "s2": "vm"},
+	}
+}
+
+func (h *home) newLane() broker.LaneID {
+	h.laneMu.Lock()
+	defer h.laneMu.Unlock()
+	h.lane++
+	return broker.LaneID{VM: "vm", Number: h.lane, Start: 1}
+}
+
+// request returns a single statement's request.
+func (h *home) request(server, id, text string) broker.Request {
+	r := broker.Request{
+		Lane: h.newLane(), Database: "orders", Server: server, Entry: "e", Caller: "c", Rank: catalogue.RankOrders,
+		Statement: statement.Statement{ID: id, Text: text, Verb: statement.Read},
+		QueueFor:  2 * time.Second, RunFor: 2 * time.Second, IdleFor: time.Second,
+	}
+	if strings.HasPrefix(text, "WRITE") {
+		r.Statement.Verb, r.Statement.Writes = statement.Write, true
+	}
+	return r
+}
+
+func (h *home) run(r broker.Request) broker.Result { return h.m.Run(context.Background(), r) }
+
+func (h *home) ran(id string) int {
+	n := 0
+	for _, run := range h.group.Runs() {
+		if run.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWritesAndReadsRun(t *testing.T) {
+	h := newHome(t, 0)
+	w := h.run(h.request("s1", "w1", "WRITE a one"))
+	h.g.Expect(w.Outcome).To(Equal(broker.Ran))
+	h.g.Expect(w.Reply.Signature).To(Equal("sig.w1"))
+	h.g.Expect(w.Proof.Mark).To(Equal(topology.Mark{Database: "orders", Term: 1, Position: 1}))
+	r := h.run(h.request("s1", "r1", "READ a"))
+	h.g.Expect(r.Reply.Rows).To(Equal([]string{"one"}))
+	h.g.Expect(r.Proof.Mark.IsZero()).To(BeTrue(), "a plain read proves no lead")
+}
+
+// A plain read succeeds on a server that has lost the lead, so a read that must
+// see every commit asks for a transaction first, and nothing of it is sent before
+// that is granted.
+func TestALeadingReadIsNotSentToAServerThatDoesNotLead(t *testing.T) {
+	h := newHome(t, 0)
+	r := h.request("s2", "r1", "READ a")
+	r.Leading = true
+	result := h.run(r)
+	h.g.Expect(result.Outcome).To(Equal(broker.NotRun))
+	h.g.Expect(result.Reason).To(Equal(outcome.ReasonReplaced))
+	h.g.Expect(h.ran("r1")).To(BeZero())
+	for _, text := range h.group.Server("s2").Texts() {
+		h.g.Expect(text).NotTo(ContainSubstring("READ a"))
+	}
+	r = h.request("s1", "r2", "READ a")
+	r.Leading = true
+	result = h.run(r)
+	h.g.Expect(result.Outcome).To(Equal(broker.Ran))
+	h.g.Expect(result.Reply.State).To(Equal(statement.Idle), "the transaction is the proxy's own")
+}
+
+func TestReadsWaitForNoPositionThatTheServerLacks(t *testing.T) {
+	h := newHome(t, time.Hour)
+	w := h.run(h.request("s1", "w1", "WRITE a one"))
+	r := h.request("s2", "r1", "READ a")
+	r.After = w.Proof.Mark
+	result := h.run(r)
+	h.g.Expect(result.Reply.Code).To(Equal(statement.Behind))
+	h.g.Expect(h.ran("r1")).To(BeZero())
+}
+
+func TestTransactionsStayOnOneConnection(t *testing.T) {
+	h := newHome(t, 0)
+	first := h.request("s1", "t1", "WRITE a one")
+	first.Begin = statement.Begin
+	h.g.Expect(h.run(first).Reply.State).To(Equal(statement.InTxn))
+	// Other work runs meanwhile, on other connections.
+	h.g.Expect(h.run(h.request("s1", "other", "READ a")).Reply.Rows).To(Equal([]string{"-"}))
+	second := h.request("s1", "t2", "COMMIT")
+	second.Statement.Verb, second.Joined, second.Lane = statement.Commit, true, first.Lane
+	result := h.run(second)
+	h.g.Expect(result.Reply.OK()).To(BeTrue())
+	h.g.Expect(result.Reply.Mark.Position).To(Equal(uint64(1)))
+	h.g.Expect(h.group.Commits()).To(HaveLen(1))
+	// The lane has ended.
+	late := h.request("s1", "t3", "WRITE a two")
+	late.Joined, late.Lane = true, first.Lane
+	h.g.Expect(h.run(late).Outcome).To(Equal(broker.NotRun))
+	h.g.Expect(h.ran("t3")).To(BeZero())
+}
+
+func TestReleaseRollsBack(t *testing.T) {
+	h := newHome(t, 0)
+	r := h.request("s1", "t1", "WRITE a one")
+	r.Begin = statement.Begin
+	h.run(r)
+	h.m.Release("vm", "s1", r.Lane)
+	h.g.Expect(h.group.Commits()).To(BeEmpty())
+	h.g.Expect(h.group.Server("s1").Texts()).To(ContainElement("- ROLLBACK"))
+}
+
+// A session whose VM is gone sends nothing more; its transaction must not hold a
+// connection for ever.
+func TestAbandonedTransactionsExpire(t *testing.T) {
+	h := newHome(t, 0)
+	r := h.request("s1", "t1", "WRITE a one")
+	r.Begin, r.IdleFor = statement.Begin, time.Millisecond
+	h.run(r)
+	h.g.Eventually(func() []string { return h.group.Server("s1").Texts() }, "5s", "20ms").Should(ContainElement("- ROLLBACK"))
+	next := h.request("s1", "t2", "COMMIT")
+	next.Joined, next.Lane, next.Statement.Verb = true, r.Lane, statement.Commit
+	h.g.Expect(h.run(next).Outcome).To(Equal(broker.NotRun))
+	h.g.Expect(h.group.Commits()).To(BeEmpty())
+}
+
+func TestALostAnswerIsLostAndTheWriteIsSentOnce(t *testing.T) {
+	h := newHome(t, 0)
+	h.run(h.request("s1", "r0", "READ a"))
+	h.group.Server("s1").LoseAnswers(1)
+	result := h.run(h.request("s1", "w1", "WRITE a one"))
+	h.g.Expect(result.Outcome).To(Equal(broker.Lost))
+	h.g.Expect(h.ran("w1")).To(Equal(1))
+	// The server has answered others since: work goes on.
+	h.g.Expect(h.run(h.request("s1", "w2", "WRITE a two")).Outcome).To(Equal(broker.Ran))
+}
+
+// Connections that the server closed while they were idle are found before a
+// statement is sent on them.
+func TestClosedConnectionsAreNotUsed(t *testing.T) {
+	h := newHome(t, 0)
+	h.run(h.request("s1", "r0", "READ a"))
+	h.group.Server("s1").Crash()
+	h.group.Server("s1").Start()
+	h.g.Eventually(func() broker.Outcome {
+		return h.run(h.request("s1", "w1", "WRITE a one")).Outcome
+	}, "3s", "20ms").Should(Equal(broker.Ran))
+	h.g.Expect(h.ran("w1")).To(Equal(1))
+}
+
+func TestSessionValuesAndPreparedStatements(t *testing.T) {
+	h := newHome(t, 0)
+	execute := func(id string, p statement.Prepared, settings ...statement.Setting) broker.Result {
+		r := h.request("s1", id, "EXECUTE mine a")
+		r.Statement.Verb, r.Statement.Name, r.Statement.Value = statement.Execute, "mine", "a"
+		r.Prepared, r.Settings = &p, settings
+		return h.run(r)
+	}
+	value := statement.Setting{Name: "tz", Value: "north"}
+	h.g.Expect(execute("e1", statement.Prepared{Shape: "q1"}, value).Reply.OK()).To(BeTrue())
+	h.g.Expect(execute("e2", statement.Prepared{Shape: "q2"}, value).Reply.OK()).To(BeTrue())
+	// Another session without the value must not run with it.
+	h.g.Expect(execute("e3", statement.Prepared{Shape: "q1"}).Reply.OK()).To(BeTrue())
+	set := map[string]string{}
+	shapes := map[string]string{}
+	for _, text := range h.group.Server("s1").Texts() {
+		id, text, _ := strings.Cut(text, " ")
+		fields := strings.Fields(text)
+		switch fields[0] {
+		case "DISCARD":
+			clear(set)
+			clear(shapes)
+		case "SET":
+			set[fields[1]] = fields[2]
+		case "PARSE":
+			shapes[fields[1]] = fields[3]
+		case "EXECUTE":
+			want := map[string]string{"e1": "q1", "e2": "q2", "e3": "q1"}[id]
+			h.g.Expect(shapes[fields[1]]).To(Equal(want), id)
+			if id != "e3" {
+				h.g.Expect(set).To(HaveKeyWithValue("tz", "north"))
+			}
+		}
+	}
+}
+
+// A server under pressure is asked for no more than its slots at a time.
+func TestSlotsAreKept(t *testing.T) {
+	h := newHome(t, 0)
+	h.group.Pause = 5 * time.Millisecond
+	var all sync.WaitGroup
+	for i := range 40 {
+		all.Go(func() { h.run(h.request("s1", fmt.Sprintf("r%d", i), "READ a")) })
+	}
+	all.Wait()
+	h.g.Expect(h.group.Runs()).To(HaveLen(40))
+	h.g.Expect(h.group.Server("s1").MostRunning()).To(Equal(2))
+}
+
+func TestALeavingServerTakesNoNewWork(t *testing.T) {
+	h := newHome(t, 0)
+	first := h.request("s2", "t1", "READ a")
+	first.Begin = statement.BeginRead
+	h.g.Expect(h.run(first).Outcome).To(Equal(broker.Ran))
+	h.servers[1].State = topology.ServerLeaving
+	h.servers = append([]topology.Server(nil), h.servers...)
+	h.pub.Publish(h.snapshot("s1"))
+	h.g.Eventually(func() outcome.Reason { return h.run(h.request("s2", "r1", "READ a")).Reason }, "2s", "10ms").
+		Should(Equal(outcome.ReasonLeaving))
+	// A transaction that had begun goes on.
+	next := h.request("s2", "t2", "READ a")
+	next.Joined, next.Lane = true, first.Lane
+	h.g.Expect(h.run(next).Outcome).To(Equal(broker.Ran))
+}
+
+func TestProofsAreSharedAndAge(t *testing.T) {
+	h := newHome(t, 0)
+	p, err := h.m.Position(context.Background(), "s1", 0)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(p.Mark.Term).To(Equal(uint64(1)))
+	again, err := h.m.Position(context.Background(), "s1", time.Minute)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	h.g.Expect(again.Age).To(BeNumerically(">=", p.Age))
+	_, err = h.m.Position(context.Background(), "s2", time.Minute)
+	h.g.Expect(err).To(BeAssignableToTypeOf(&broker.RefusedError{}))
+}
+
+func TestTheServersConnectionLimitIsRespected(t *testing.T) {
+	h := newHome(t, 0)
+	h.group.Server("s1").LimitConnections(3)
+	h.group.Pause = 10 * time.Millisecond
+	var all sync.WaitGroup
+	for i := range 20 {
+		all.Go(func() {
+			r := h.request("s1", fmt.Sprintf("r%d", i), "READ a")
+			r.Begin = statement.BeginRead
+			h.run(r)
+			h.m.Release("vm", "s1", r.Lane)
+		})
+	}
+	all.Wait()
+	ran := 0
+	for i := range 20 {
+		ran += h.ran(fmt.Sprintf("r%d", i))
+	}
+	h.g.Expect(ran).To(Equal(20))
+}
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -289,6 +289,10 @@
 	broken := result.Outcome == Lost || result.Outcome == NotRun && result.Reason == outcome.ReasonConnLost
 	rollBack := r.Leading && result.Outcome == Ran ||
 		inTxn && (result.Outcome == Ran && result.Reply.State != statement.Idle || r.Joined && result.Outcome == NotRun)
+	if r.Leading {
+		// The transaction was the proxy's own.
+		result.Reply.State = statement.Idle
+	}
 	if broken && l.conn != nil {
 		l.s.conns.discard(l.conn)
 		l.conn = nil
--- a/internal/session/run.go
+++ b/internal/session/run.go
@@ -46,6 +46,7 @@
 	if st.Writes && reply.OK() {
 		s.mark = later(s.mark, result.Reply.Mark)
 	}
+	reply.State = statement.Idle
 	w.log(result, reply)
 	return reply
 }
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -114,10 +114,17 @@
 	g.mu.Unlock()
 	if runs(verb) {
 		pause += g.Pause
+		g.mu.Lock()
+		c.s.running++
+		c.s.most = max(c.s.most, c.s.running)
+		g.mu.Unlock()
 	}
 	time.Sleep(pause)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if runs(verb) {
+		c.s.running--
+	}
 	if code := c.refusal(verb); code != "" {
 		c.fail(code)
 		return true
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -54,6 +54,8 @@
 	delay    map[string]time.Duration // extra work, by statement word
 	max      int                      // connections
 	texts    []string                 // every statement received, in order
+	running  int                      // statements that take a slot now
+	most     int                      // at the same time
 }
 
 // New returns a group whose first server is the primary. Each server listens on
@@ -221,6 +223,13 @@
 	return append([]string(nil), s.texts...)
 }
 
+// MostRunning returns the highest number of statements that ran at the same time.
+func (s *Server) MostRunning() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.most
+}
+
 // closeConns closes every connection. The caller holds the group's mutex.
 func (s *Server) closeConns() {
 	for c := range s.conns {
