Leave half of a server's connections to a home that takes over; try silent homes' statements elsewhere

Statements sent on a link that is in doubt were lost with it.

Change: a home uses half of the limit; a statement that opens a lane fails unsent on a link in doubt, and the VM stands in.

--- a/internal/broker/fleet.go
+++ b/internal/broker/fleet.go
@@ -24,6 +24,8 @@
 type Peers interface {
 	peer.Caller
 	peer.Registrar
+	// CallAnswering is Call that fails, unsent, while the VM does not answer.
+	CallAnswering(ctx context.Context, vm, method string, body []byte) ([]byte, error)
 }
 
 // Fleet implements Broker over the homes of all VMs. Where the home of a server
@@ -91,7 +93,14 @@
 	ctx, cancel := context.WithTimeout(ctx, r.QueueFor+r.RunFor+callMargin)
 	defer cancel()
 	var result Result
-	err := f.call(ctx, vm, method.Statement, &r, &result)
+	body, err := msgpack.Marshal(&r)
+	if err != nil {
+		return Result{Outcome: NotRun, Reason: outcome.ReasonUnavailable, Detail: err.Error()}
+	}
+	raw, err := f.callHome(ctx, r, vm, body)
+	if err == nil {
+		err = msgpack.Unmarshal(raw, &result)
+	}
 	if err == nil {
 		return result
 	}
@@ -102,6 +111,15 @@
 	return Result{Outcome: Lost, Reason: outcome.ReasonHomeLost, Detail: err.Error()}
 }
 
+// callHome sends a statement. One that opens a lane goes to another VM while the
+// home does not answer.
+func (f *Fleet) callHome(ctx context.Context, r Request, vm string, body []byte) ([]byte, error) {
+	if r.Joined {
+		return f.peers.Call(ctx, vm, method.Statement, body)
+	}
+	return f.peers.CallAnswering(ctx, vm, method.Statement, body)
+}
+
 // call makes a unary call with msgpack bodies.
 func (f *Fleet) call(ctx context.Context, vm, name string, query, reply any) error {
 	body, err := msgpack.Marshal(query)
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -21,9 +21,10 @@
 	ConnectTimeout time.Duration
 	// ProbeTimeout bounds a statement of the proxy's own.
 	ProbeTimeout time.Duration
-	// ReservedConnections of a server's limit stay free for the proof connection,
-	// for other VMs that stand in, and for a home that takes over.
-	ReservedConnections int
+	// HomeShare is the part of a server's limit on connections that its home uses.
+	// The rest is for a home that takes over while those of a dead one still count,
+	// for VMs that stand in, and for the proof connection.
+	HomeShare float64
 	// StandInConnections bounds the connections of a VM that is not the home.
 	StandInConnections int
 	// DefaultConnections is the limit of a server that names none.
@@ -40,15 +41,15 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		Admission:           admission.DefaultOptions(),
-		ConnectTimeout:      time.Second,
-		ProbeTimeout:        500 * time.Millisecond,
-		ReservedConnections: 4,
-		StandInConnections:  2,
-		DefaultConnections:  8,
-		IdleStandIn:         3 * time.Second,
-		LeavingPrimary:      5 * time.Second,
-		Maintenance:         200 * time.Millisecond,
+		Admission:          admission.DefaultOptions(),
+		ConnectTimeout:     time.Second,
+		ProbeTimeout:       500 * time.Millisecond,
+		HomeShare:          0.5,
+		StandInConnections: 2,
+		DefaultConnections: 8,
+		IdleStandIn:        3 * time.Second,
+		LeavingPrimary:     5 * time.Second,
+		Maintenance:        200 * time.Millisecond,
 	}
 }
 
@@ -248,7 +249,7 @@
 		primary: g.Primary == spec.ID, limit: o.StandInConnections,
 	}
 	if v.home {
-		v.limit = max(1, connectionLimit(o, snapshot, g.Database)-o.ReservedConnections)
+		v.limit = max(1, int(float64(connectionLimit(o, snapshot, g.Database))*o.HomeShare))
 	}
 	return v
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -397,6 +397,20 @@
 	return c.call(ctx, method, body)
 }
 
+// CallAnswering is Call for work that may be sent to another VM instead: it fails
+// at once, unsent, while the link is in doubt.
+func (n *Node) CallAnswering(ctx context.Context, vm, method string, body []byte) ([]byte, error) {
+	c, err := n.client(ctx, vm)
+	if err != nil {
+		return nil, &UnreachableError{VM: vm, Method: method, Unsent: true, Cause: err}
+	}
+	defer c.link.end()
+	if c.link.doubted.Load() {
+		return nil, &UnreachableError{VM: vm, Method: method, Unsent: true, Cause: &SilentError{Silence: n.opts.DoubtAfter}}
+	}
+	return c.call(ctx, method, body)
+}
+
 func (n *Node) callSelf(ctx context.Context, method string, body []byte) ([]byte, error) {
 	h, ok := n.handlers[method]
 	if !ok {
