--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,383 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hashicorp/go-hclog"
+
+	"egretroad/internal/eventlog"
+	"egretroad/internal/node"
+	"egretroad/internal/standin/linegroup"
+	"egretroad/internal/standin/metastore"
+	"egretroad/platform"
+)
+
+// fleet is a deployment of real processes' parts over stand-ins: one store, one
+// group of three servers, and one VM in each of three data centres.
+type fleet struct {
+	t     *testing.T
+	g     *WithT
+	store *metastore.Store
+	group *linegroup.Group
+	vms   []*vm
+}
+
+// vm is one running node.
+type vm struct {
+	settings platform.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+var zones = []string{"a", "b", "c"}
+
+// addresses counts the loopback addresses given out: each VM has one of its own,
+// so that no port is taken between its choice and its use.
+var addresses atomic.Uint32
+
+func nextAddress() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Parallel()
+	f := &fleet{t: t, g: NewWithT(t)}
+	var err error
+	f.store, err = metastore.New()
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(f.store.Close)
+	f.group, err = linegroup.New("orders", "s-a", "s-b", "s-c")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.group.Lag = 5 * time.Millisecond
+	t.Cleanup(f.group.Close)
+	f.store.Promote = func(_, server string) bool {
+		if !f.group.Promote(server) {
+			return false
+		}
+		f.registerServers()
+		return true
+	}
+	f.registerServers()
+	f.configure(1, "shop", "stock", "grants")
+	for i := range zones {
+		f.vms = append(f.vms, f.startVM(i))
+	}
+	for i := range f.vms {
+		f.awaitReady(i)
+	}
+	return f
+}
+
+// registerServers writes the servers' entries as the servers see themselves.
+func (f *fleet) registerServers() {
+	for _, zone := range zones {
+		f.registerServer(zone, "ready")
+	}
+}
+
+func (f *fleet) registerServer(zone, state string) {
+	id := "s-" + zone
+	role := "replica"
+	if f.group.Primary() == id {
+		role = "primary"
+	}
+	f.store.Put("servers", id, map[string]any{
+		"service": "orders", "address": f.group.Server(id).Addr(), "zone": zone, "version": "v1", "slots": 2,
+		"state": state, "cold-left-ms": 0, "db-role": role, "seq": 1, "born": 1,
+	})
+}
+
+// configure writes a configuration with a primary, a bounded and an own-writes
+// route, as far as hosts are given.
+func (f *fleet) configure(version int, hosts ...string) {
+	kinds := []string{"primary", "bounded_staleness", "read_your_writes"}
+	var routes []map[string]any
+	for i, host := range hosts {
+		routes = append(routes, map[string]any{
+			"name": "r-" + host, "host": host, "route-kind": kinds[i%3], "timeout-ms": 2000, "target-latency-ms": 1000,
+			"priority": i % 3, "service": "orders", "max-staleness-ms": 1500,
+		})
+	}
+	f.store.Put("config", "main", map[string]any{
+		"version": version, "routes": routes, "services": []map[string]any{{"name": "orders", "max-conns": 16}},
+		"limits": map[string]any{"tx-idle-ms": 1000},
+	})
+}
+
+func (f *fleet) startVM(i int) *vm {
+	ip := nextAddress()
+	s := platform.Settings{
+		VM: "vm-" + zones[i], DataCentre: zones[i], Region: "r-" + zones[i], Address: ip,
+		Regions:      map[string]string{"a": "r-a", "b": "r-b", "c": "r-c"},
+		CallerListen: ip + ":7001", ReadyListen: ip + ":7002", PeerListen: ip + ":7003", StatusListen: ip + ":7004",
+		StoreAddress: f.store.Addr(), PromoteAddress: f.store.Addr(), Descriptors: 1000, Grace: testGrace,
+	}
+	return f.run(s)
+}
+
+// testGrace is long enough for a stop that hands over.
+const testGrace = 2 * time.Second
+
+func (f *fleet) run(s platform.Settings) *vm {
+	lines := &logLines{}
+	log := eventlog.New(lines, hclog.Info, "vm", s.VM)
+	n, err := node.New(s.NodeSettings(), platform.NewAdapters(s, log), log)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	v := &vm{settings: s, stop: cancel, done: make(chan error, 1)}
+	go func() { v.done <- n.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		v.done <- <-v.done
+		lines.print(f.t)
+	})
+	return v
+}
+
+// logLines keeps a VM's log lines for a test that fails.
+type logLines struct {
+	mu    sync.Mutex // guards lines
+	lines []byte
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line...)
+	return len(line), nil
+}
+
+func (l *logLines) print(t *testing.T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.Failed() {
+		t.Logf("%s", l.lines)
+	}
+}
+
+func (f *fleet) awaitReady(i int) {
+	f.g.Eventually(func() string {
+		c, err := net.Dial("tcp", f.vms[i].settings.ReadyListen)
+		if err != nil {
+			return err.Error()
+		}
+		defer func() { _ = c.Close() }()
+		fmt.Fprintf(c, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		return line
+	}, "20s", "20ms").Should(ContainSubstring("200"))
+}
+
+// caller is one session.
+type caller struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// answer is the answer to one statement.
+type answer struct {
+	rows  []string
+	code  string // of an error; empty: success
+	sig   string
+	state string
+	err   error // the connection broke
+}
+
+func (f *fleet) dial(i int, database string) (*caller, error) {
+	conn, err := net.DialTimeout("tcp", f.vms[i].settings.CallerListen, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	c := &caller{conn: conn, r: bufio.NewReader(conn)}
+	if _, err := fmt.Fprintf(conn, "CONNECT %s u\r\n", database); err != nil {
+		return nil, err
+	}
+	line, err := c.line()
+	if err != nil || !strings.HasPrefix(line, "READY I") {
+		_ = conn.Close() // the session was refused
+		return nil, fmt.Errorf("start: %q, %w", line, err)
+	}
+	return c, nil
+}
+
+func (f *fleet) session(i int, database string) *caller {
+	c, err := f.dial(i, database)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(c.close)
+	return c
+}
+
+func (c *caller) close() { _ = c.conn.Close() } // the test is done with it
+
+func (c *caller) line() (string, error) {
+	line, err := c.r.ReadString('\n')
+	return strings.TrimRight(line, "\r\n"), err
+}
+
+// do sends one statement and reads its answer.
+func (c *caller) do(id, text string) answer {
+	var a answer
+	if a.err = c.conn.SetDeadline(time.Now().Add(15 * time.Second)); a.err != nil {
+		return a
+	}
+	if _, a.err = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); a.err != nil {
+		return a
+	}
+	for {
+		line, err := c.line()
+		if err != nil {
+			a.err = err
+			return a
+		}
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "ROW":
+			a.rows = append(a.rows, rest)
+		case "COMPLETE":
+			a.sig = rest
+		case "ERROR":
+			a.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.state, _, _ = strings.Cut(rest, " ")
+			return a
+		}
+	}
+}
+
+func TestTheWholePath(t *testing.T) {
+	f := newFleet(t)
+	orders := f.session(0, "shop")
+	f.g.Expect(orders.do("w1", "WRITE lamp 12")).To(Equal(answer{sig: "sig.w1", state: "I"}))
+	f.g.Expect(orders.do("r1", "READ lamp")).To(Equal(answer{rows: []string{"12"}, sig: "sig.r1", state: "I"}))
+	// A transaction on another VM, with a value and a prepared statement.
+	grants := f.session(1, "grants")
+	f.g.Expect(grants.do("s1", "SET tz north").state).To(Equal("I"))
+	f.g.Expect(grants.do("p1", "PARSE mine WRITE q7").state).To(Equal("I"))
+	f.g.Expect(grants.do("b1", "BEGIN").state).To(Equal("T"))
+	f.g.Expect(grants.do("x1", "EXECUTE mine lamp 13").state).To(Equal("T"))
+	f.g.Expect(grants.do("c1", "COMMIT").state).To(Equal("I"))
+	f.g.Expect(grants.do("r2", "READ lamp").rows).To(Equal([]string{"13"}))
+	f.g.Expect(f.group.Commits()).To(HaveLen(2))
+	stock := f.session(2, "stock")
+	f.g.Expect(stock.do("r3", "READ lamp").code).To(BeEmpty())
+	f.g.Expect(stock.do("bad", "WAITLSN 9.9 READ lamp").code).To(Equal("MALFORMED"))
+	_, err := f.dial(0, "nowhere")
+	f.g.Expect(err).To(MatchError(ContainSubstring("NODB")))
+}
+
+func TestACrashedPrimaryIsReplacedOnce(t *testing.T) {
+	f := newFleet(t)
+	c := f.session(1, "shop")
+	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
+	f.group.Server("s-a").Crash()
+	f.g.Eventually(func() string {
+		a := c.do("w2", "WRITE lamp 2")
+		return a.code
+	}, "20s", "20ms").Should(BeEmpty())
+	f.g.Expect(f.group.Primary()).NotTo(Equal("s-a"))
+	tokens := map[uint64]string{}
+	for _, p := range f.store.Promotions() {
+		f.g.Expect(tokens[p.Token]).To(Or(BeEmpty(), Equal(p.Holder)))
+		tokens[p.Token] = p.Holder
+		f.g.Expect(p.Refused).To(BeFalse())
+	}
+	f.g.Expect(c.do("r1", "READ lamp").rows).To(Equal([]string{"2"}))
+}
+
+func TestALeavingPrimaryHandsOverWithoutLoss(t *testing.T) {
+	f := newFleet(t)
+	c := f.session(2, "grants")
+	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
+	f.registerServer("a", "draining")
+	f.g.Eventually(f.group.Primary, "20s", "20ms").ShouldNot(Equal("s-a"))
+	f.g.Eventually(func() []string { return c.do("r1", "READ lamp").rows }, "20s", "20ms").Should(Equal([]string{"1"}))
+	f.g.Expect(c.do("w2", "WRITE lamp 2").code).To(BeEmpty())
+	f.g.Expect(f.group.Commits()).To(HaveLen(2))
+}
+
+func TestAConfigurationReachesAVMThatTheStoreRefuses(t *testing.T) {
+	f := newFleet(t)
+	f.store.RefuseFrom(f.vms[2].settings.Address, true)
+	f.configure(2, "shop", "stock", "grants", "returns")
+	for i := range f.vms {
+		f.g.Eventually(func() error {
+			c, err := f.dial(i, "returns")
+			if err == nil {
+				c.close()
+			}
+			return err
+		}, "20s", "20ms").Should(Succeed())
+	}
+	f.store.RefuseFrom(f.vms[2].settings.Address, false)
+	f.store.Compact()
+	f.configure(3, "shop", "stock", "grants")
+	for i := range f.vms {
+		f.g.Eventually(func() error { _, err := f.dial(i, "returns"); return err }, "20s", "20ms").Should(MatchError(ContainSubstring("NODB")))
+	}
+}
+
+// A VM that starts while the store is away takes what it needs from another VM.
+func TestAVMStartsFromAPeerWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t)
+	f.vms[2].stop()
+	f.vms[2].done <- <-f.vms[2].done
+	f.store.Answer(503)
+	s := f.vms[2].settings
+	s.Seeds = []string{f.vms[0].settings.PeerListen, f.vms[1].settings.PeerListen}
+	f.vms[2] = f.run(s)
+	f.awaitReady(2)
+	c := f.session(2, "shop")
+	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
+}
+
+// A VM that stops answers what it has read, and its homes move.
+func TestAStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.group.Pause = 20 * time.Millisecond
+	var mu sync.Mutex
+	var unanswered []string
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 6 {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := f.dial(i%2, "grants")
+				if err != nil {
+					time.Sleep(time.Millisecond) // the VM takes no more callers
+					continue
+				}
+				id := fmt.Sprintf("w%d.%d", i, n)
+				a := c.do(id, "WRITE lamp x")
+				c.close()
+				if a.err != nil || a.code == "INDOUBT" {
+					mu.Lock()
+					unanswered = append(unanswered, id)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	f.vms[0].stop()
+	f.vms[0].done <- <-f.vms[0].done
+	close(stop)
+	all.Wait()
+	for _, run := range f.group.Runs() {
+		f.g.Expect(unanswered).NotTo(ContainElement(run.ID), "a write ran and its caller was not answered")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,6 +226,7 @@
 	time.Sleep(min(leaveDelay, n.settings.Grace/2))
 	half := time.AfterFunc(n.settings.Grace/2-(clock.Boottime()-began), n.parts.Sessions.RollBackOpen)
 	defer half.Stop()
+	_ = n.parts.Listeners.callers.Close() // it may be closed already
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Grace-(clock.Boottime()-began)-stopMargin)
 	defer cancel()
 	if err := n.parts.Sessions.Drain(drainCtx); err != nil {
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -91,7 +91,7 @@
 	for _, database := range sortedKeys(m.snapshot.Groups) {
 		g := m.snapshot.Groups[database]
 		if m.actor(g) != m.self {
-			if state := m.groups[database]; state != nil && state.phase == watching {
+			if state := m.groups[database]; state != nil && state.phase == watching && !state.probing {
 				delete(m.groups, database)
 			}
 			continue
--- /dev/null
+++ b/internal/promotion/main_test.go
@@ -0,0 +1,9 @@
+package promotion
+
+import (
+	"testing"
+
+	"egretroad/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -131,11 +131,9 @@
 // ctx ends.
 func (e *Engine) Drain(ctx context.Context) error {
 	e.stopping.Store(true)
-	e.mu.Lock()
-	for s := range e.sessions {
-		s.interrupt()
-	}
-	e.mu.Unlock()
+	e.interruptIdle()
+	unused := time.AfterFunc(firstStatement, e.interruptUnused)
+	defer unused.Stop()
 	done := make(chan struct{})
 	go func() {
 		e.serving.Wait()
@@ -149,6 +147,24 @@
 	}
 }
 
+// interruptIdle ends the sessions that wait for their next operation.
+func (e *Engine) interruptIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.sessions {
+		s.interrupt()
+	}
+}
+
+// interruptUnused ends the sessions whose first statement has not come.
+func (e *Engine) interruptUnused() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.sessions {
+		s.interruptUnused()
+	}
+}
+
 // RollBackOpen ends the transactions that wait for their caller's next statement
 // at a stop, half of whose time has passed.
 func (e *Engine) RollBackOpen() {
--- /dev/null
+++ b/internal/session/main_test.go
@@ -0,0 +1,9 @@
+package session
+
+import (
+	"testing"
+
+	"egretroad/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -87,9 +87,11 @@
 	prepared map[string]statement.Prepared
 	mark     topology.Mark // the session's own commits
 	txn      *txn
+	served   bool // a statement has come
 
 	mu      sync.Mutex // guards the fields below
-	waiting bool       // between statements, outside a transaction
+	waiting bool       // between operations, and to be ended by a stop
+	unused  bool       // its first statement has not come
 }
 
 // txn is an open transaction.
@@ -132,6 +134,7 @@
 	}
 	st, err := s.conn.Read()
 	s.setWaiting(false)
+	s.served = true
 	arrived := clock.Boottime()
 	if err != nil {
 		return s.readFailed(err)
@@ -152,16 +155,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.e.closing() && !s.conn.Buffered() {
-		return false
+		if s.served {
+			return false
+		}
+		// The caller connected for a statement that is on its way.
+		return s.conn.SetReadDeadline(time.Now().Add(firstStatement)) == nil
 	}
-	s.waiting = true
+	s.waiting, s.unused = s.served, !s.served
 	return s.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// firstStatement is how long a process that stops waits for the first statement of
+// a session: several times the round trip to a caller.
+const firstStatement = 300 * time.Millisecond
+
 func (s *session) setWaiting(waiting bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting = waiting
+	s.waiting, s.unused = waiting, false
 }
 
 // interrupt ends the session if it waits outside a transaction.
@@ -173,6 +184,15 @@
 	}
 }
 
+// interruptUnused ends the session if it has sent nothing yet.
+func (s *session) interruptUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unused {
+		_ = s.conn.SetReadDeadline(time.Now()) // a connection that fails ends too
+	}
+}
+
 // readFailed handles a statement that could not be read, and reports whether the
 // session goes on.
 func (s *session) readFailed(err error) bool {
