Find data centres that went silent as a whole; register a VM before it lists the others

Cause: VMs of a data centre that fail at once are each other's only monitors, so nobody reported them; their servers kept dead homes, and a primary among them had nobody to act for it. Three VMs that started together could each list the store before the others had registered, and then knew nobody until the next list, five seconds later or never if the store refused them: the one failure of TestAConfigurationReachesAVMThatTheStoreRefuses.

Change: a data centre of which no VM has been heard for 3 s gives its servers' homes to others, by each VM's own view; a VM registers, for up to 500 ms, before control lists the VMs.

Test: a silent data centre (failed first). The start order has no test of its own: the fleet tests run it.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -120,6 +120,7 @@
 	m.reportWhenDue()
 	m.members.forget(now)
 	m.releaseServers()
+	m.watchDataCentres()
 }
 
 // start reads the store and asks seeds for a copy, whichever answers first.
@@ -155,6 +156,7 @@
 
 // receive decodes a peer's one-way message.
 func (m *Machine) receive(e reducer.PeerMessage) {
+	m.heardFrom(e.From)
 	var err error
 	switch e.Method {
 	case method.Heartbeat:
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -39,6 +39,10 @@
 	// notice is kept: registrations lapse while the store is away and return
 	// shortly after it.
 	RegistrationHold time.Duration
+	// DataCentreSilence is the time without a message of any VM of another data
+	// centre after which its servers get homes elsewhere: VMs that all fail at once
+	// have nobody left to report them. Used with Registrations.
+	DataCentreSilence time.Duration
 	// WatchEverywhere lets every VM watch the store, so that news does not depend
 	// on one VM of the data centre.
 	WatchEverywhere bool
@@ -81,7 +85,8 @@
 		ReportRefresh: 10 * time.Second,
 		WaitingNotice: 10 * time.Second,
 
-		RegistrationHold: 2500 * time.Millisecond,
+		RegistrationHold:  2500 * time.Millisecond,
+		DataCentreSilence: 3 * time.Second,
 	}
 }
 
--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -12,7 +12,9 @@
 // registrations holds the servers that registered themselves, and those whose
 // registration ended a short while ago.
 type registrations struct {
-	current map[string]registered // by server ID
+	heard   map[string]time.Duration // last message of a VM of another data centre
+	silent  map[string]bool          // data centres whose VMs are not counted on
+	current map[string]registered    // by server ID
 	held    map[string]heldServer
 }
 
@@ -29,7 +31,10 @@
 }
 
 func newRegistrations() registrations {
-	return registrations{current: map[string]registered{}, held: map[string]heldServer{}}
+	return registrations{
+		heard: map[string]time.Duration{}, silent: map[string]bool{},
+		current: map[string]registered{}, held: map[string]heldServer{},
+	}
 }
 
 // registrationChanged takes a changed or ended registration in. A server that had
@@ -112,15 +117,55 @@
 	if m.snapshot.homes[server.DataCentre] {
 		return true
 	}
-	return m.opts.Registrations && len(m.snapshot.homes) > 0 && len(m.members.eligible(server.DataCentre)) == 0
+	return m.opts.Registrations && len(m.snapshot.homes) > 0 && len(m.homesIn(server.DataCentre)) == 0
+}
+
+// homesIn returns the VMs of a data centre that may be homes, as far as the data
+// centre is heard.
+func (m *Machine) homesIn(dc string) []string {
+	if m.servers.silent[dc] {
+		return nil
+	}
+	return m.members.eligible(dc)
 }
 
 // distantHome picks a home for a server whose data centre has no VM: one of its
 // region, else any.
 func (m *Machine) distantHome(server topology.Server) string {
-	region := m.members.ids(func(x *member) bool { return x.takesHomes() && x.vm.Region == server.Region })
+	counted := func(x *member) bool { return x.takesHomes() && !m.servers.silent[x.vm.DataCentre] }
+	region := m.members.ids(func(x *member) bool { return counted(x) && x.vm.Region == server.Region })
 	if len(region) > 0 {
 		return placement.Pick(server.ID, region)
 	}
-	return placement.Pick(server.ID, m.members.ids((*member).takesHomes))
+	return placement.Pick(server.ID, m.members.ids(counted))
+}
+
+// heardFrom notes a message of another data centre's VM.
+func (m *Machine) heardFrom(vm string) {
+	if x := m.members.members[vm]; x != nil {
+		m.servers.heard[x.vm.DataCentre] = m.now
+	}
+}
+
+// watchDataCentres finds data centres that went silent as a whole, and those that
+// are back. A VM that hears no other at all may be cut off itself, and changes
+// nothing.
+func (m *Machine) watchDataCentres() {
+	if !m.opts.Registrations || !m.self.announced || m.isolated() && len(m.members.members) > 1 {
+		return
+	}
+	for _, dc := range m.members.dataCentres() {
+		if dc == m.dataCentre() {
+			continue
+		}
+		if _, known := m.servers.heard[dc]; !known {
+			m.servers.heard[dc] = m.now
+		}
+		quiet := m.now - max(m.servers.heard[dc], m.self.baseline)
+		if silent := quiet > m.opts.DataCentreSilence; silent != m.servers.silent[dc] {
+			m.servers.silent[dc] = silent
+			m.alarm("data_centre_heard", "data_centre", dc, "heard", !silent, "quiet", quiet)
+			m.snapshot.membersChanged(map[string]bool{dc: true})
+		}
+	}
 }
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -78,9 +78,13 @@
 }
 
 func registration(g *WithT, id string, version uint64, role topology.Role, state topology.ServerState) platform.Object {
+	return registrationIn(g, "a", id, version, role, state)
+}
+
+func registrationIn(g *WithT, dc, id string, version uint64, role topology.Role, state topology.ServerState) platform.Object {
 	value, err := json.Marshal(topology.Registration{
 		Database: "orders", Role: role,
-		Server: topology.Server{ID: id, Addr: "10.0.0.1:" + id, DataCentre: "a", Region: "r-a", State: state, Slots: 2},
+		Server: topology.Server{ID: id, Addr: "10.0.0.1:" + id, DataCentre: dc, Region: "r-" + dc, State: state, Slots: 2},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	return platform.Object{Kind: platform.KindServer, Name: id, Version: version, Value: value}
@@ -164,3 +168,45 @@
 	l.post(control.ObjectsWatched{Since: 5, Reply: platform.WatchReply{Revision: 9, Objects: []platform.Object{gone("1", 9)}}})
 	g.Expect(l.group().Servers).To(HaveLen(1))
 }
+
+// heartbeat is a message of a VM that only says that it lives.
+func (l *lone) heartbeat(g *WithT, from string) {
+	body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	l.post(reducer.PeerMessage{From: from, Method: method.Heartbeat, Body: body, Now: l.now})
+}
+
+// home returns the home of server 1 as last published.
+func (l *lone) home() string {
+	home := ""
+	for _, e := range l.out {
+		if p, ok := e.(control.Publish); ok {
+			home = p.Snapshot.Homes["1"]
+		}
+	}
+	return home
+}
+
+// VMs of a data centre that all fail at once have nobody left who would report
+// them: without this, their servers kept homes that were gone, and a primary among
+// them was never replaced.
+func TestASilentDataCentreLosesItsHomes(t *testing.T) {
+	g := NewWithT(t)
+	l := newLone(5, registrationIn(g, "b", "1", 3, topology.RolePrimary, topology.ServerActive))
+	l.heartbeat(g, "b1")
+	l.heartbeat(g, "a2")
+	g.Expect(l.home()).To(Equal("b1"))
+	for range 40 {
+		l.tick(100 * time.Millisecond)
+		l.heartbeat(g, "a2")
+	}
+	g.Expect(l.home()).To(HavePrefix("a"))
+	l.heartbeat(g, "b1")
+	l.tick(100 * time.Millisecond)
+	g.Expect(l.home()).To(Equal("b1"))
+	// A VM that hears nobody may be cut off itself.
+	for range 60 {
+		l.tick(100 * time.Millisecond)
+	}
+	g.Expect(l.home()).To(Equal("b1"))
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -201,7 +201,7 @@
 func (m *Machine) placingOf(dc string) *placing {
 	p := m.snapshot.places[dc]
 	if p == nil {
-		p = &placing{table: placement.New(m.members.eligible(dc))}
+		p = &placing{table: placement.New(m.homesIn(dc))}
 		m.snapshot.places[dc] = p
 	}
 	return p
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,10 +148,10 @@
 			p.Status.SetReady(n.Ready)
 			p.Status.Start(p.Listeners.status)
 			p.Peers.Start(p.Listeners.peers)
+			go n.serveReady()
+			n.registerFirst()
 			p.Control.Start()
 			p.Homes.Start()
-			go n.register()
-			go n.serveReady()
 			go n.serveCallers()
 			return nil
 		},
@@ -159,6 +159,20 @@
 	})
 }
 
+// registerFirst writes this VM's entry and waits a moment for it: of two VMs that
+// start together, the one that registers later then finds the other in the list.
+func (n *Node) registerFirst() {
+	registered := make(chan struct{})
+	go func() {
+		n.register()
+		close(registered)
+	}()
+	select {
+	case <-registered:
+	case <-time.After(registerWait):
+	}
+}
+
 // register writes this VM's entry until the store has taken it.
 func (n *Node) register() {
 	pause := registerFirst
@@ -182,6 +196,7 @@
 
 // Times of the registration: it must survive a store that is slow or away.
 const (
+	registerWait    = 500 * time.Millisecond
 	registerTimeout = 3 * time.Second
 	registerFirst   = 200 * time.Millisecond
 	registerMax     = 2 * time.Second
