Report how a proxy ended that printed no line; never give a port out twice

Cause of the finding (measure failover once ended with "no line of output: EOF"): the report left out the exit state and what the process had logged. Two VMs of one run could be given the same port on the callers' address, as ports are chosen before the proxies bind them.

Change: the report holds the exit state and the end of the process's log; a process gives each port out once. Conclusion: the collision is mended; whether it was the cause cannot be told from the old report.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,12 +43,14 @@
 var zones = []string{"a", "b", "c"}
 
 // addresses counts the loopback addresses given out: each VM has one of its own,
-// so that no port is taken between its choice and its use.
+// so that no port is taken between its choice and its use, and each test process
+// has a range of its own.
 var addresses atomic.Uint32
 
 func nextAddress() string {
-	n := addresses.Add(1)
-	return fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
+	const ranges = 64
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", ranges+pid%ranges, pid/ranges%256, addresses.Add(1)%250+1)
 }
 
 func newFleet(t *testing.T) *fleet {
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"egretroad/internal/platform"
@@ -317,6 +318,9 @@
 	var err error
 	for range portAttempts {
 		port := firstListenPort + rand.IntN(lastListenPort-firstListenPort)
+		if !take(port) {
+			continue
+		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port))); err == nil {
 			return l.Addr().String(), l.Close()
@@ -325,6 +329,16 @@
 	return "", &PortError{Addr: ip, Cause: err}
 }
 
+// taken are the ports given out by this process: a second choice of one would
+// only show when its proxy starts.
+var taken sync.Map // of struct{} by port
+
+// take reports whether a port has not been given out before, and takes it.
+func take(port int) bool {
+	_, given := taken.LoadOrStore(port, struct{}{})
+	return !given
+}
+
 // Databases returns the databases' names in order.
 func (d *Deployment) Databases() []string { return d.plan.databases }
 
--- a/tools/measure/fleet/fleet.go
+++ b/tools/measure/fleet/fleet.go
@@ -156,10 +156,12 @@
 	if p.fleet.options.Cores > 0 {
 		cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.fleet.options.Cores))
 	}
-	cmd.Stderr = os.Stderr
+	var logged io.Writer = os.Stderr
 	if p.fleet.options.Log != nil {
-		cmd.Stderr = p.fleet.options.Log
+		logged = p.fleet.options.Log
 	}
+	last := &tail{}
+	cmd.Stderr = io.MultiWriter(logged, last)
 	// The kernel ends the process when this one dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
@@ -180,7 +182,11 @@
 		close(done)
 	}()
 	if readErr != nil {
-		return &ProcessError{VM: p.VM.ID, Detail: "no line of output", Cause: readErr}
+		<-done
+		return &ProcessError{
+			VM: p.VM.ID, Cause: readErr,
+			Detail: fmt.Sprintf("no line of output; it ended with %q, its last log: %s", cmd.ProcessState, last),
+		}
 	}
 	for _, field := range strings.Fields(line) {
 		if addr, ok := strings.CutPrefix(field, "operator="); ok {
--- /dev/null
+++ b/tools/measure/fleet/tail_test.go
@@ -0,0 +1,22 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestTailKeepsTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	last := &tail{}
+	g.Expect(last.String()).To(Equal("nothing"))
+	for range 10 {
+		_, err := last.Write([]byte(strings.Repeat("x", tailBytes/3)))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, err := last.Write([]byte("the end"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(last.String()).To(HaveSuffix("the end"))
+	g.Expect(last.String()).To(HaveLen(tailBytes))
+}
