Explain a request from the logs; log what a home knew of a statement that failed; latency histograms

egretroad explain prints the way of a request over the logs of several VMs, by attempt and cause rather than by clock, and its cause in a sentence. Homes write a line for each statement that did not succeed, with queue length, proof and its age, silence; regained servers and store calls have their line. Histograms of latency by entry under sessions.latency_us.

--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -58,14 +58,37 @@
 	s.lastWork = clock.Boottime()
 	l := s.lanes[r.Lane]
 	s.mu.Unlock()
+	var result Result
 	switch {
 	case r.Joined && l == nil:
-		return Result{Outcome: NotRun, Reason: outcome.ReasonTxnAborted, Detail: "the transaction has ended and was rolled back"}
+		result = Result{Outcome: NotRun, Reason: outcome.ReasonTxnAborted, Detail: "the transaction has ended and was rolled back"}
 	case r.Joined:
-		return l.next(ctx, r)
+		result = l.next(ctx, r)
 	default:
-		return s.open(ctx, r)
+		result = s.open(ctx, r)
+	}
+	if result.Outcome != Ran || !result.Reply.OK() {
+		s.logFailed(r, result)
 	}
+	return result
+}
+
+// logFailed writes the line of a statement that did not succeed at its server, with
+// what this home knew of the server.
+func (s *server) logFailed(r Request, result Result) {
+	now := clock.Boottime()
+	silence, _ := s.health.silence(now)
+	proof, _ := s.health.proven(now)
+	v := s.view.Load()
+	s.mu.Lock()
+	waiting, transactions := s.queue.Waiting(), len(s.lanes)
+	s.mu.Unlock()
+	s.log.Info("home_statement", "id", r.Statement.ID, "session", r.Caller, "entry", r.Entry, "born", s.spec.Born,
+		"home", v.home, "primary", v.primary, "waiting", waiting, "transactions", transactions, "after", r.After.Position,
+		"after_term", r.After.Term, "proof", proof.Mark.Position, "proof_term", proof.Mark.Term, "proof_age", proof.Age.Round(time.Millisecond),
+		"silence", silence.Round(time.Millisecond), "waited", result.Waited.Round(time.Microsecond), "ran", result.Ran.Round(time.Microsecond),
+		"outcome", result.Outcome, "code", max(result.Code, result.Reply.Code), "reason", result.Reason,
+		"detail", result.Detail+result.Reply.Detail)
 }
 
 // open admits new work, gives it a connection and runs its statement.
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -118,7 +118,11 @@
 	var connect *ConnectError
 	answered := err == nil || errors.As(err, &refused) || errors.As(err, &connect) && connect.Code != statement.None
 	if answered {
-		s.health.ok(clock.Boottime())
+		now := clock.Boottime()
+		if silent, _ := s.health.silence(now); silent != 0 {
+			s.log.Info("server_answers", "silent_for", silent)
+		}
+		s.health.ok(now)
 		return
 	}
 	if errors.Is(err, context.Canceled) {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -83,7 +83,7 @@
 		return &UsageError{Detail: err.Error()}
 	})
 	root.AddCommand(
-		newServe(e), newNode(e), newCheckConfig(e), newVersion(e), newDump(e), newDemo(e),
+		newServe(e), newNode(e), newExplain(e), newCheckConfig(e), newVersion(e), newDump(e), newDemo(e),
 		newCatalogue(e), newServer(e), newStatus(e),
 	)
 	return root
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -43,9 +43,10 @@
 	// centre after which its servers get homes elsewhere: VMs that all fail at once
 	// have nobody left to report them. Used with Registrations.
 	DataCentreSilence time.Duration
-	// WatchEverywhere lets every VM watch the store, so that news does not depend
-	// on one VM of the data centre.
-	WatchEverywhere bool
+	// WatchAllUpTo is the number of VMs up to which each watches the store, so that
+	// news does not depend on one VM of the data centre. Larger fleets have one
+	// watcher a data centre, since every waiting watch counts against the store's rate.
+	WatchAllUpTo int
 	// NoReports leaves out the status objects for operators.
 	NoReports bool
 }
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -31,7 +31,7 @@
 // everything listed up to a revision.
 func newLone(revision uint64, servers ...platform.Object) *lone {
 	o := control.DefaultOptions()
-	o.Registrations, o.WatchEverywhere, o.NoReports = true, true, true
+	o.Registrations, o.WatchAllUpTo, o.NoReports = true, 32, true
 	l := &lone{m: control.New(control.Config{Options: o, Self: loneVM("a1", "a"), Incarnation: 1}), now: time.Hour}
 	l.tick(0)
 	l.post(control.VMsListed{List: platform.VMList{Revision: 1, VMs: []topology.VM{loneVM("a1", "a"), loneVM("a2", "a"), loneVM("b1", "b")}}})
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -40,7 +40,7 @@
 
 // watcher reports whether this VM watches the store for its data centre.
 func (m *Machine) watcher() bool {
-	return m.opts.WatchEverywhere || m.ring.watcher == m.cfg.Self.ID
+	return len(m.members.members) <= m.opts.WatchAllUpTo || m.ring.watcher == m.cfg.Self.ID
 }
 
 // callStore starts the calls that are due.
@@ -75,6 +75,9 @@
 func (m *Machine) ended(c *storeCall, err error, next time.Duration) {
 	c.busy = false
 	if err == nil {
+		if c.failures > 0 {
+			m.log("store_call_answered", "failures", c.failures, "down_for", m.now-c.failedAt)
+		}
 		c.failures, c.err = 0, nil
 		c.due = m.now + next
 		return
@@ -86,8 +89,11 @@
 	if c.failures == 0 {
 		m.log("store_call_failed", "error", err)
 	}
+	if c.failures == 0 {
+		c.failedAt = m.now
+	}
 	c.failures++
-	c.err, c.failedAt = err, m.now
+	c.err = err
 	c.due = m.now + m.jitter(min(wait, m.opts.RetryMax))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,7 +316,7 @@
 func newControl(s Settings, a Adapters, start incarnation, n *peer.Node, p *topology.Publisher, x *promote.Executor, log hclog.Logger, m *metrics.Registry) *control.Control {
 	o := control.DefaultOptions()
 	o.Incarnation = uint64(start)
-	o.Machine.Registrations, o.Machine.WatchEverywhere, o.Machine.NoReports = true, true, true
+	o.Machine.Registrations, o.Machine.WatchAllUpTo, o.Machine.NoReports = true, watchAllUpTo, true
 	o.Machine.RetryMax = storeRetryMax
 	o.Machine.VMsInterval = vmsInterval
 	for _, addr := range s.Seeds {
@@ -336,6 +336,9 @@
 }
 
 const (
+	// watchAllUpTo keeps the watches of a fleet, two a VM every two seconds, within
+	// a tenth of a store that takes some hundred reads a second.
+	watchAllUpTo = 32
 	// storeRetryMax is the longest pause before the store is asked again: a quarter
 	// of the time within which a configuration must be in force.
 	storeRetryMax = time.Second
--- a/internal/session/report.go
+++ b/internal/session/report.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"egretroad/internal/broker"
 	"egretroad/internal/clock"
 	"egretroad/internal/metrics"
@@ -13,14 +15,55 @@
 	"egretroad/internal/statement"
 )
 
-// counts are the counters of answers by code.
+// counts are the counters of answers by code, and the latencies by entry.
 type counts struct {
-	mu    sync.Mutex // guards codes
-	codes map[statement.Code]uint64
+	mu      sync.Mutex // guards the fields below
+	codes   map[statement.Code]uint64
+	latency map[string]*hdrhistogram.Histogram // of statements, by catalogue entry
+}
+
+// Bounds of the latency histograms.
+const (
+	maxLatencyUS   = int64(60_000_000)
+	latencyDigits  = 2
+	maxLatencyKeys = 64 // entries with a histogram of their own; the others share one
+	otherEntries   = "other"
+)
+
+// observe records a statement's latency.
+func (c *counts) observe(entry string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.latency[entry]
+	if h == nil {
+		if len(c.latency) >= maxLatencyKeys {
+			entry = otherEntries
+		}
+		if h = c.latency[entry]; h == nil {
+			h = hdrhistogram.New(1, maxLatencyUS, latencyDigits)
+			c.latency[entry] = h
+		}
+	}
+	_ = h.RecordValue(min(max(took.Microseconds(), 1), maxLatencyUS)) // within the bounds
+}
+
+// latencies returns the histograms' figures in microseconds.
+func (c *counts) latencies() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]map[string]int64, len(c.latency))
+	for entry, h := range c.latency {
+		out[entry] = map[string]int64{
+			"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
+			"p99": h.ValueAtQuantile(99), "max": h.Max(),
+		}
+	}
+	return out
 }
 
 func (c *counts) register(m *metrics.Registry) {
-	c.codes = map[statement.Code]uint64{}
+	c.codes, c.latency = map[statement.Code]uint64{}, map[string]*hdrhistogram.Histogram{}
+	m.Set("sessions", "latency_us", expvar.Func(c.latencies))
 	m.Set("sessions", "answers", expvar.Func(func() any {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -46,7 +89,9 @@
 // those that did.
 func (w *work) log(result broker.Result, reply statement.Reply) {
 	e := w.s.e
+	took := clock.Boottime() - w.began
 	e.count(reply.Code)
+	e.counts.observe(w.entry.Name, took)
 	if reply.OK() && e.successes.Add(1)%e.options.LogEvery != 0 {
 		return
 	}
@@ -54,7 +99,7 @@
 		"verb", w.st.Verb, "writes", w.st.Writes, "txn", w.s.txn != nil, "server", w.server, "via", result.Via,
 		"attempts", w.attempts, "after", w.after.Position, "after_term", w.after.Term, "mark", result.Reply.Mark.Position,
 		"queued", w.queued.Round(time.Microsecond), "ran", w.ran.Round(time.Microsecond),
-		"total", (clock.Boottime() - w.began).Round(time.Microsecond), "revision", e.source.Snapshot().Revision,
+		"total", took.Round(time.Microsecond), "revision", e.source.Snapshot().Revision,
 		"outcome", result.Outcome, "code", reply.Code, "reason", result.Reason, "detail", reply.Detail)
 }
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -345,6 +345,7 @@
 	mu      sync.Mutex // guards replies and closed
 	script  []statement.Statement
 	block   chan struct{} // Read waits for it once the script has ended
+	once    sync.Once     // closes block
 	replies []statement.Reply
 	closed  bool
 }
@@ -370,9 +371,10 @@
 	return nil
 }
 
+// SetReadDeadline ends a Read that waits at the deadline.
 func (c *scriptConn) SetReadDeadline(at time.Time) error {
-	if !at.IsZero() && time.Until(at) <= 0 {
-		close(c.block)
+	if !at.IsZero() {
+		time.AfterFunc(time.Until(at), func() { c.once.Do(func() { close(c.block) }) })
 	}
 	return nil
 }
