Promote while the store is away: claim the duty ahead of need, and tell the VMs who leads

Change: the VM that acts for a group claims its duty at once; whoever promotes or finds a leading server tells all VMs, and that holds until a later registration of the group names a primary.

Tests: a claim ahead of need, a lead that holds until the store says otherwise.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -81,6 +81,8 @@
 		m.statusWritten(e)
 	case Leaving:
 		m.leave()
+	case LeadFound:
+		m.leadFound(e)
 	default:
 		return nil
 	}
@@ -169,6 +171,11 @@
 		if err = decode(e.Method, e.Body, &n); err == nil {
 			m.objectNews(e.From, n)
 		}
+	case method.Lead:
+		var lead Lead
+		if err = decode(e.Method, e.Body, &lead); err == nil {
+			m.takeLead(lead, e.From)
+		}
 	case method.Status:
 		var r Report
 		if err = decode(e.Method, e.Body, &r); err == nil {
--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"egretroad/internal/peer/method"
 	"egretroad/internal/placement"
 	"egretroad/internal/platform"
 	"egretroad/internal/topology"
@@ -12,6 +13,7 @@
 // registrations holds the servers that registered themselves, and those whose
 // registration ended a short while ago.
 type registrations struct {
+	leads   map[string]Lead          // by database; what VMs found before the store could say it
 	heard   map[string]time.Duration // last message of a VM of another data centre
 	silent  map[string]bool          // data centres whose VMs are not counted on
 	current map[string]registered    // by server ID
@@ -32,11 +34,53 @@
 
 func newRegistrations() registrations {
 	return registrations{
-		heard: map[string]time.Duration{}, silent: map[string]bool{},
+		leads: map[string]Lead{}, heard: map[string]time.Duration{}, silent: map[string]bool{},
 		current: map[string]registered{}, held: map[string]heldServer{},
 	}
 }
 
+// Lead is the body of method.Lead: a server that leads its group by the account of
+// the VM that promoted or asked it. It holds until a registration of the group later
+// than Version names a primary: while the store is away, no registration changes.
+type Lead struct {
+	Database string `msgpack:"d"`
+	Server   string `msgpack:"s"`
+	Version  uint64 `msgpack:"v"` // highest version of the group's registrations then
+}
+
+// LeadFound reports a server that was found to lead its group.
+type LeadFound struct{ Database, Server string }
+
+// EventName implements reducer.Event.
+func (LeadFound) EventName() string { return "lead_found" }
+
+// leadFound tells the other VMs of a server that leads its group, unless the
+// registrations say the same.
+func (m *Machine) leadFound(e LeadFound) {
+	lead := Lead{Database: e.Database, Server: e.Server}
+	for _, r := range m.servers.current {
+		if r.value.Database == e.Database {
+			lead.Version = max(lead.Version, r.version)
+		}
+	}
+	if g := m.snapshot.current.Groups[e.Database]; g == nil || g.Primary == e.Server && m.servers.leads[e.Database] != lead {
+		return
+	}
+	m.takeLead(lead, m.cfg.Self.ID)
+	everyone := m.members.ids(func(x *member) bool { return x.serves() })
+	m.notify(without(everyone, m.cfg.Self.ID), method.Lead, lead)
+}
+
+// takeLead notes a lead, unless a later one is known.
+func (m *Machine) takeLead(lead Lead, from string) {
+	if old, known := m.servers.leads[lead.Database]; known && (old.Version > lead.Version || old == lead) {
+		return
+	}
+	m.servers.leads[lead.Database] = lead
+	m.snapshot.groups[lead.Database] = true
+	m.log("lead_learned", "database", lead.Database, "server", lead.Server, "version", lead.Version, "from", from)
+}
+
 // registrationChanged takes a changed or ended registration in. A server that had
 // announced to leave is dropped at once, any other is held for a while.
 func (m *Machine) registrationChanged(id string, o *object) {
@@ -108,6 +152,11 @@
 	if len(g.Servers) == 0 {
 		return nil
 	}
+	if lead, known := m.servers.leads[database]; known && lead.Version >= primary {
+		if _, registered := g.Server(lead.Server); registered {
+			g.Primary = lead.Server
+		}
+	}
 	sort.Slice(g.Servers, func(i, j int) bool { return g.Servers[i].ID < g.Servers[j].ID })
 	return g
 }
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -210,3 +210,34 @@
 	}
 	g.Expect(l.home()).To(Equal("b1"))
 }
+
+// While the store is away a promoted server cannot register its new role; the VMs
+// learn of it from the one that promoted it.
+func TestALeadHoldsUntilTheStoreSaysOtherwise(t *testing.T) {
+	g := NewWithT(t)
+	l := newLone(5, registration(g, "1", 3, topology.RolePrimary, topology.ServerActive), registration(g, "2", 4, topology.RoleReplica, topology.ServerActive))
+	l.tick(time.Second)
+	l.out = nil
+	l.post(control.LeadFound{Database: "orders", Server: "2"})
+	g.Expect(l.group().Primary).To(Equal("2"))
+	told := map[string]bool{}
+	for _, e := range l.out {
+		if n, ok := e.(control.Notify); ok && n.Method == method.Lead {
+			for _, to := range n.To {
+				told[to] = true
+			}
+		}
+	}
+	g.Expect(told).To(Equal(map[string]bool{"a2": true, "b1": true}))
+	// An older account does not take it back, a later registration does.
+	stale, err := msgpack.Marshal(control.Lead{Database: "orders", Server: "1", Version: 3})
+	g.Expect(err).NotTo(HaveOccurred())
+	l.post(reducer.PeerMessage{From: "b1", Method: method.Lead, Body: stale, Now: l.now})
+	l.tick(time.Second)
+	g.Expect(l.group().Primary).To(Equal("2"))
+	l.post(control.ObjectsWatched{Since: 5, Reply: platform.WatchReply{Revision: 9, Objects: []platform.Object{
+		registration(g, "2", 8, topology.RoleReplica, topology.ServerActive), registration(g, "1", 9, topology.RolePrimary, topology.ServerActive),
+	}}})
+	l.tick(time.Second)
+	g.Expect(l.group().Primary).To(Equal("1"))
+}
--- a/internal/control/run/control.go
+++ b/internal/control/run/control.go
@@ -75,7 +75,7 @@
 
 // register takes the methods of control.
 func (c *Control) register(r peer.Registrar) {
-	for _, method := range []string{method.Heartbeat, method.Objects, method.Status} {
+	for _, method := range []string{method.Heartbeat, method.Objects, method.Status, method.Lead} {
 		r.Handle(method, func(_ context.Context, from string, body []byte) ([]byte, error) {
 			c.runtime.Post(reducer.PeerMessage{From: from, Method: method, Body: body, Now: clock.Boottime()})
 			return nil, nil
--- a/internal/peer/method/method.go
+++ b/internal/peer/method/method.go
@@ -18,6 +18,7 @@
 	LaneRelease = "lane_release" // broker: one-way, a session has no further use for a lane
 	Proof       = "proof"        // broker: a position of the leading server
 	Standing    = "standing"     // broker: a server's own account of its place
+	Lead        = "lead"         // control: one-way, a server that leads its group by a VM's own account
 	Reach       = "reach"        // promotion: whether a VM reaches a server
 	Release     = "release"      // authority: a holder gives up (database, term)
 )
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -33,6 +33,8 @@
 	candidate string
 	refused   map[string]bool // servers that the platform refused in this round
 	target    string          // last server promoted
+	claimed   bool            // this VM has claimed the duty since it acts for the group
+	claimDue  time.Duration   // no claim ahead of need before
 }
 
 // Machine implements reducer.Machine.
@@ -139,6 +141,11 @@
 	if m.now < s.settled && (!known || primary.ID != s.target) {
 		return
 	}
+	if !s.claimed && m.now >= s.claimDue && s.silence == 0 {
+		s.phase, s.candidate = claiming, ""
+		m.emit(Claim{Database: g.Database})
+		return
+	}
 	switch {
 	case !known && m.now-s.absent >= m.options.AbsenceLimit:
 		m.elect(g, s, "no server is primary", "")
@@ -247,6 +254,9 @@
 	if s == nil {
 		return
 	}
+	if e.Leads {
+		m.emit(Announce{Database: e.Database, Server: e.Server})
+	}
 	if e.Server == "" || e.Leads || m.recovered(g, s) {
 		m.log("promotion_given_up", "database", e.Database, "candidate", e.Server, "leads", e.Leads)
 		s.phase, s.due = watching, m.now+m.options.Retry
@@ -267,6 +277,11 @@
 	if s == nil {
 		return
 	}
+	s.claimed = s.claimed || e.Err == nil && e.Token != 0
+	if s.candidate == "" {
+		s.phase, s.claimDue = watching, m.now+m.options.ClaimRetry
+		return
+	}
 	if e.Token == 0 {
 		m.log("duty_not_claimed", "database", e.Database, "error", e.Err)
 		s.phase, s.due = watching, m.now+m.options.Retry
@@ -299,6 +314,7 @@
 		s.due = m.now + m.options.Retry
 		return
 	}
+	m.emit(Announce{Database: e.Call.Database, Server: e.Call.Server})
 	clear(s.refused)
 	s.target, s.settled, s.silence, s.absent = e.Call.Server, m.now+m.options.Settle, 0, 0
 }
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -37,6 +37,9 @@
 		Homes: map[string]string{"s1": "a", "s2": "b", "s3": "c"},
 	}
 	t.publish()
+	t.post(Claimed{Database: "orders", Token: 1})
+	t.answered()
+	t.take()
 	return t
 }
 
@@ -91,6 +94,19 @@
 	}
 }
 
+// The duty is claimed before it is needed, so that a promotion needs no store.
+func TestTheDutyIsClaimedAheadOfNeed(t *testing.T) {
+	g := NewWithT(t)
+	m := New(DefaultOptions(), "a")
+	effects := m.Step(reducer.SnapshotPublished{Snapshot: newTrace().snapshot})
+	g.Expect(effects).To(ContainElement(Claim{Database: "orders"}))
+	// While the store is away the claim is tried again now and then, and a promotion
+	// goes on with what the executor has.
+	m.Step(Claimed{Database: "orders", Err: fmt.Errorf("away")})
+	g.Expect(m.Step(reducer.Tick{Now: time.Second})).NotTo(ContainElement(Claim{Database: "orders"}))
+	g.Expect(m.Step(reducer.Tick{Now: DefaultOptions().ClaimRetry})).To(ContainElement(Claim{Database: "orders"}))
+}
+
 func TestASilentPrimaryIsReplaced(t *testing.T) {
 	g := NewWithT(t)
 	tr := newTrace()
@@ -108,6 +124,7 @@
 	call := Call{Database: "orders", Server: "s3", Holder: "a", Token: 77}
 	g.Expect(tr.take()).To(Equal([]reducer.Effect{Promote{Call: call}}))
 	tr.post(Promoted{Call: call})
+	g.Expect(tr.take()).To(Equal([]reducer.Effect{Announce{Database: "orders", Server: "s3"}}))
 	// Until the group shows the new primary, nothing more is done.
 	tr.tick(time.Second)
 	for _, e := range tr.take() {
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -8,7 +8,8 @@
 // remains is that one VM at a time acts for a group: the home of the group's
 // primary, or of its first server while there is no primary. It claims the duty
 // for the group in the store; the revision of the claim is the call's token, so
-// tokens rise with each claim and no two claims share one.
+// tokens rise with each claim and no two claims share one. A first claim is made as
+// soon as a VM acts for a group: its token serves while the store is away.
 package promotion
 
 import (
@@ -65,6 +66,8 @@
 	Settle time.Duration
 	// Retry is the pause after a step that failed.
 	Retry time.Duration
+	// ClaimRetry is the pause before a claim ahead of need is tried again.
+	ClaimRetry time.Duration
 	// Witnesses is the number of other VMs that are asked whether they reach a
 	// silent primary.
 	Witnesses int
@@ -78,6 +81,7 @@
 		AbsenceLimit:  800 * time.Millisecond,
 		Settle:        2500 * time.Millisecond,
 		Retry:         200 * time.Millisecond,
+		ClaimRetry:    5 * time.Second,
 		Witnesses:     3,
 	}
 }
@@ -172,6 +176,13 @@
 // EventName implements reducer.Event.
 func (Promoted) EventName() string { return "promoted" }
 
+// Announce tells control of a server that leads its group, which the servers'
+// registrations may not say yet.
+type Announce struct{ Database, Server string }
+
+// EffectName implements reducer.Effect.
+func (Announce) EffectName() string { return "announce_lead" }
+
 // Log writes one event line.
 type Log struct {
 	Event  string
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -13,6 +13,7 @@
 
 	"egretroad/internal/broker"
 	"egretroad/internal/clock"
+	"egretroad/internal/control"
 	"egretroad/internal/peer"
 	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
@@ -91,6 +92,8 @@
 		x.run(func() reducer.Event { return x.claim(ctx, e) })
 	case promotion.Promote:
 		x.run(func() reducer.Event { return x.promote(ctx, e) })
+	case promotion.Announce:
+		x.run(func() reducer.Event { return control.LeadFound{Database: e.Database, Server: e.Server} })
 	case promotion.Log:
 		x.deps.Log.Info(e.Event, e.Fields...)
 	default:
