--- a/internal/session/choose_test.go
+++ b/internal/session/choose_test.go
@@ -72,3 +72,12 @@
 		}
 	})
 }
+
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	c := newChooser(DefaultChoiceOptions(), topology.VM{})
+	c.answered("p", 0, "", time.Second)
+	c.answered("gone", 0, "", time.Second)
+	c.keep(&topology.Snapshot{Groups: map[string]*topology.Group{"orders": choiceGroup()}})
+	g.Expect(c.dump()).To(HaveLen(1))
+}
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -94,6 +94,9 @@
 
 // Serve accepts callers until the listener is closed.
 func (e *Engine) Serve(listener net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	go e.forgetServers(ended)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -110,6 +113,19 @@
 	}
 }
 
+// forgetServers drops what was learned of servers that are gone.
+func (e *Engine) forgetServers(ended <-chan struct{}) {
+	for {
+		changed := e.source.Changed()
+		e.chooser.keep(e.source.Snapshot())
+		select {
+		case <-changed:
+		case <-ended:
+			return
+		}
+	}
+}
+
 func (e *Engine) begun(s *session) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
