--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -213,7 +213,7 @@
 			l.conn.settings, l.conn.prepared = map[string]string{"": ""}, map[string]bool{}
 			return Result{Outcome: NotRun, Reason: outcome.ReasonUnavailable, Code: reply.Code, Detail: reply.Detail}, false
 		}
-		return Result{Outcome: NotRun, Reason: refusalReason(reply.Code), Code: reply.Code, Detail: reply.Detail}, false
+		return Result{Outcome: NotRun, Reason: RefusalReason(reply.Code), Code: reply.Code, Detail: reply.Detail}, false
 	}
 	if begin == statement.Begin && len(replies) > 0 {
 		l.s.health.prove(Proof{Mark: replies[len(replies)-1].Mark}, asked)
@@ -221,8 +221,8 @@
 	return Result{}, true
 }
 
-// refusalReason names a server's refusal.
-func refusalReason(code statement.Code) outcome.Reason {
+// RefusalReason names a server's refusal to run a statement.
+func RefusalReason(code statement.Code) outcome.Reason {
 	switch code {
 	case statement.ReadOnly:
 		return outcome.ReasonReplaced
--- a/internal/session/run.go
+++ b/internal/session/run.go
@@ -240,7 +240,7 @@
 	result := e.broker.Run(context.Background(), r)
 	reason := result.Reason
 	if result.Outcome == broker.Ran && result.Reply.NotRun() {
-		reason = notRunReason(result.Reply.Code)
+		reason = broker.RefusalReason(result.Reply.Code)
 	}
 	w.took(result, now)
 	e.chooser.answered(server.ID, result.Waited, reason, clock.Boottime())
@@ -251,20 +251,6 @@
 	return result, true
 }
 
-// notRunReason names a server's refusal of a statement.
-func notRunReason(code statement.Code) outcome.Reason {
-	switch code {
-	case statement.Behind:
-		return outcome.ReasonBehind
-	case statement.ReadOnly:
-		return outcome.ReasonReplaced
-	case statement.Busy:
-		return outcome.ReasonQueueFull
-	default:
-		return outcome.ReasonUnavailable
-	}
-}
-
 // choose picks the server. Work for the primary goes to the registered one, and,
 // once that refused, to the others: one of them may lead already.
 func (w *work) choose(now time.Duration) (topology.Server, bool) {
@@ -310,7 +296,7 @@
 	case broker.Ran:
 		return result.Reply
 	case broker.NotRun:
-		return statement.Reply{Code: w.promise(result), Detail: string(result.Reason) + ": " + result.Detail}
+		return statement.Reply{Code: w.promise(result), Detail: string(result.Reason) + ": " + result.Detail + retryHint(result)}
 	}
 	detail := string(result.Reason) + ": " + result.Detail
 	if w.mayBeKept() {
@@ -319,6 +305,14 @@
 	return statement.Reply{Code: statement.Aborted, Detail: detail}
 }
 
+// retryHint says when refused work may find a slot; "" when nobody knows.
+func retryHint(result broker.Result) string {
+	if result.RetryAfter <= 0 {
+		return ""
+	}
+	return "; come back in " + result.RetryAfter.Round(time.Millisecond).String()
+}
+
 // promise returns the code of a statement that did not run.
 func (w *work) promise(result broker.Result) statement.Code {
 	switch {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -299,9 +299,13 @@
 
 func TestAnOverloadedPrimaryRefusesAtOnce(t *testing.T) {
 	f := newFixture(t, "own")
-	f.b.answer = func(broker.Request) broker.Result { return notRun(outcome.ReasonDeadline) }
+	f.b.answer = func(broker.Request) broker.Result {
+		return broker.Result{Outcome: broker.NotRun, Reason: outcome.ReasonDeadline, RetryAfter: 40 * time.Millisecond}
+	}
 	began := clock.Boottime()
-	f.g.Expect(f.do("w1", statement.Write).Code).To(Equal(statement.Busy))
+	reply := f.do("w1", statement.Write)
+	f.g.Expect(reply.Code).To(Equal(statement.Busy))
+	f.g.Expect(reply.Detail).To(ContainSubstring("come back in 40ms"))
 	f.g.Expect(f.b.sent("w1")).To(Equal(1))
 	f.g.Expect(clock.Boottime() - began).To(BeNumerically("<", f.e.options.GapWait))
 }
