--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -37,6 +37,7 @@
 	primary string
 	servers map[string]*Server
 	runs    []Run
+	commits []Commit // every commit, in order, also those that a promotion dropped
 }
 
 // Server is one server of a group.
@@ -129,6 +130,13 @@
 	return append([]Run(nil), g.runs...)
 }
 
+// AllCommits returns every commit, also those that a promotion dropped.
+func (g *Group) AllCommits() []Commit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Commit(nil), g.commits...)
+}
+
 // Commits returns the log of the present primary.
 func (g *Group) Commits() []Commit {
 	g.mu.Lock()
@@ -142,6 +150,7 @@
 	for i := range writes {
 		writes[i].Number = uint64(len(s.log)) + 1
 		s.log = append(s.log, writes[i])
+		g.commits = append(g.commits, writes[i])
 	}
 	for _, replica := range g.servers {
 		if replica != s && !replica.down {
