Ask enough replicas before a promotion where commits wait for replicas

A group whose primary acknowledges a commit once one replica has it may have that commit on any one of its replicas: the replica that received most among those that answer may lack it. Now as many must answer as make sure that one has every acknowledged commit, leaving ones included, and a hand-over is given up while its candidate lacks the primary's position. Open: replicas whose registration has lapsed are not counted.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -70,6 +70,8 @@
 	Freshness Freshness `json:"freshness,omitempty"`
 	// ServerConnections bounds the connections to one server of the group; 0: the server's own figure.
 	ServerConnections int `json:"serverConnections,omitempty"`
+	// SyncReplicas is the number of replicas that have a commit before the group's primary acknowledges it.
+	SyncReplicas int `json:"syncReplicas,omitempty"`
 }
 
 // Freshness says which commits a read must see.
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -52,6 +52,7 @@
 	checkRange("maxAgeMs", int64(e.MaxAge), 0, MaxAgeLimitMS, " ms")
 	checkRange("objectiveMs", int64(e.Objective), 0, MaxDeadlineMS, " ms")
 	checkRange("serverConnections", int64(e.ServerConnections), 0, MaxConcurrency, " connections")
+	checkRange("syncReplicas", int64(e.SyncReplicas), 0, MaxConcurrency, " replicas")
 	if len(e.Group) > MaxNameBytes {
 		fault("group", fmt.Sprintf("%.80q", e.Group), fmt.Sprintf("at most %d bytes", MaxNameBytes))
 	}
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -230,23 +230,54 @@
 	return s, g
 }
 
-// elect looks for the replica that received most.
+// elect looks for the replica that received most. Where commits are acknowledged
+// once replicas have them, enough replicas must answer that one of them has each
+// acknowledged commit, and a leaving replica counts too.
 func (m *Machine) elect(g *topology.Group, s *group, reason, handOver string) {
-	var candidates []string
+	e := Elect{Database: g.Database, HandOver: handOver}
+	synchronous := m.syncReplicas(g.Database)
+	replicas := 0
 	for _, server := range g.Servers {
-		if server.ID != g.Primary && server.State != topology.ServerLeaving && !s.refused[server.ID] {
-			candidates = append(candidates, server.ID)
+		if server.ID == g.Primary {
+			continue
+		}
+		replicas++
+		switch {
+		case s.refused[server.ID]:
+		case server.State != topology.ServerLeaving:
+			e.Candidates = append(e.Candidates, server.ID)
+		case synchronous > 0:
+			e.Reserve = append(e.Reserve, server.ID)
 		}
 	}
-	if len(candidates) == 0 {
+	if synchronous > 0 {
+		e.Required = max(replicas-synchronous+1, 1)
+	}
+	if candidates := len(e.Candidates) + len(e.Reserve); candidates == 0 || candidates < e.Required {
+		m.log("promotion_waits", "database", g.Database, "reason", reason, "candidates", candidates, "required", e.Required)
 		clear(s.refused)
 		s.due = m.now + m.options.Retry
 		return
 	}
 	s.phase, s.reason = electing, reason
 	m.log("promotion_began", "database", g.Database, "primary", g.Primary, "reason", reason,
-		"silence", s.silence, "candidates", candidates, "revision", m.snapshot.Revision)
-	m.emit(Elect{Database: g.Database, HandOver: handOver, Candidates: candidates})
+		"silence", s.silence, "candidates", e.Candidates, "required", e.Required, "revision", m.snapshot.Revision)
+	m.emit(e)
+}
+
+// syncReplicas returns the number of replicas that have a commit of a group before
+// it is acknowledged.
+func (m *Machine) syncReplicas(database string) int {
+	most := 0
+	if m.snapshot.Catalogue == nil {
+		return 0
+	}
+	for _, name := range m.snapshot.Catalogue.Names() {
+		if e, _ := m.snapshot.Catalogue.Entry(name); e.GroupName() == database {
+			most = max(most, e.SyncReplicas)
+		}
+	}
+	return most
 }
 
 func (m *Machine) elected(e Elected) {
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"egretroad/internal/catalogue"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
 )
@@ -190,6 +191,48 @@
 	g.Expect(tr.take()).To(Equal([]reducer.Effect{Elect{Database: "orders", Candidates: []string{"s1", "s2", "s3"}}}))
 }
 
+// synchronous makes the group acknowledge a commit once one replica has it.
+func (t *trace) synchronous() {
+	next := *t.snapshot
+	next.Catalogue = catalogue.New([]catalogue.Entry{{Name: "orders", Database: "shop", Kind: "orders", Group: "orders", SyncReplicas: 1}})
+	t.snapshot = &next
+	t.publish()
+}
+
+// With one synchronous replica an acknowledged commit may be on any one of the
+// replicas, a leaving one included: all must answer before one is promoted.
+func TestEveryReplicaIsAskedWhereCommitsWaitForOne(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.synchronous()
+	tr.group(func(grp *topology.Group) { grp.Primary, grp.Servers[2].State = "", topology.ServerLeaving })
+	tr.tick(time.Minute)
+	tr.tick(DefaultOptions().AbsenceLimit)
+	g.Expect(tr.take()).To(Equal([]reducer.Effect{Elect{
+		Database: "orders", Candidates: []string{"s1", "s2"}, Reserve: []string{"s3"}, Required: 3,
+	}}))
+	tr.post(Elected{Database: "orders"})
+	tr.tick(DefaultOptions().Retry)
+	g.Expect(tr.take()).To(ContainElement(BeAssignableToTypeOf(Elect{})), "it is tried again")
+}
+
+func TestARefusedReplicaIsMissedWhereCommitsWaitForOne(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.synchronous()
+	tr.group(func(grp *topology.Group) { grp.Servers[0].State = topology.ServerLeaving })
+	tr.take()
+	tr.post(Elected{Database: "orders", Server: "s3"})
+	tr.post(Claimed{Database: "orders", Token: 5})
+	call := Call{Database: "orders", Server: "s3", Holder: "a", Token: 5}
+	tr.post(Promoted{Call: call, Err: &RefusedError{Call: call}})
+	tr.take()
+	tr.tick(DefaultOptions().Retry)
+	for _, e := range tr.take() {
+		g.Expect(e).NotTo(BeAssignableToTypeOf(Elect{}), "s2 alone may lack a commit that s3 has")
+	}
+}
+
 // A refused call names another server next time, with a token of its own.
 func TestARefusedServerIsPassedOver(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -129,12 +129,18 @@
 	Database   string
 	HandOver   string // server ID of the present primary; empty: it is lost
 	Candidates []string
+	// Reserve are candidates that are leaving: one is chosen only if it received more.
+	Reserve []string
+	// Required is the number of candidates that must answer, so that one of them
+	// surely has every acknowledged commit; 0: commits are acknowledged without replicas.
+	Required int
 }
 
 // EffectName implements reducer.Effect.
 func (Elect) EffectName() string { return "elect" }
 
-// Elected names the candidate that received most; empty: none answered.
+// Elected names the candidate that received most; empty: too few answered, or the
+// candidate lacks commits that it must have.
 type Elected struct {
 	Database, Server string
 	Position         topology.Mark
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -165,9 +166,10 @@
 
 // standing is one candidate's answer.
 type standing struct {
-	server string
-	value  broker.Standing
-	err    error
+	server  string
+	reserve bool
+	value   broker.Standing
+	err     error
 }
 
 func (x *Executor) elect(ctx context.Context, e promotion.Elect) reducer.Event {
@@ -182,11 +184,18 @@
 	}
 	end := clock.Boottime() + handOverTimeout
 	for {
-		best := x.best(ctx, e)
-		if best == nil {
+		best, answered := x.best(ctx, e)
+		if best == nil || answered < e.Required {
+			x.deps.Log.Warn("too_few_candidates", "database", e.Database, "answered", answered, "required", e.Required)
 			return promotion.Elected{Database: e.Database}
 		}
-		if !best.value.Received.Less(target) || clock.Boottime() > end {
+		lacks := best.value.Received.Less(target)
+		late := clock.Boottime() > end
+		if lacks && late && e.Required > 0 {
+			x.deps.Log.Warn("candidate_behind", "database", e.Database, "server", best.server, "received", best.value.Received.Position, "target", target.Position)
+			return promotion.Elected{Database: e.Database}
+		}
+		if !lacks || late {
 			return promotion.Elected{
 				Database: e.Database, Server: best.server, Position: best.value.Received, Leads: best.value.Primary,
 			}
@@ -195,30 +204,45 @@
 	}
 }
 
-// best returns the candidate that received most; nil when none answered.
-func (x *Executor) best(ctx context.Context, e promotion.Elect) *standing {
+// best returns the candidate that received most, nil when none answered, and how
+// many answered.
+func (x *Executor) best(ctx context.Context, e promotion.Elect) (*standing, int) {
 	ctx, cancel := context.WithTimeout(ctx, standingTimeout)
 	defer cancel()
-	answers := make(chan standing, len(e.Candidates))
-	for _, id := range e.Candidates {
+	all := append(slices.Clone(e.Candidates), e.Reserve...)
+	answers := make(chan standing, len(all))
+	for i, id := range all {
 		go func() {
 			value, err := x.deps.Fleet.Standing(ctx, id)
-			answers <- standing{server: id, value: value, err: err}
+			answers <- standing{server: id, reserve: i >= len(e.Candidates), value: value, err: err}
 		}()
 	}
 	var best *standing
-	for range e.Candidates {
+	answered := 0
+	for range all {
 		a := <-answers
 		if a.err != nil {
 			x.deps.Log.Warn("candidate_silent", "database", e.Database, "server", a.server, "error", a.err)
 			continue
 		}
-		if best == nil || best.value.Received.Less(a.value.Received) ||
-			best.value.Received == a.value.Received && a.server < best.server {
+		answered++
+		if best == nil || a.before(*best) {
 			best = &a
 		}
 	}
-	return best
+	return best, answered
+}
+
+// before reports whether a candidate is to be preferred to another.
+func (a standing) before(b standing) bool {
+	switch {
+	case a.value.Received != b.value.Received:
+		return b.value.Received.Less(a.value.Received)
+	case a.reserve != b.reserve:
+		return b.reserve
+	default:
+		return a.server < b.server
+	}
 }
 
 // claim takes the duty for a group. While the store is away, a claim that this
