Hand the lead over without a commit that the new primary could miss

Change: while a server hands over, its home sends no statement that commits a write, also one that waited, rolls the transaction back (true: it was never asked to commit) and waits until all that was sent is answered before the position is read.

The test of the home failed first (the commit ran). Tried and kept: the check and the count under one lock, so that no statement slips between.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -12,6 +12,7 @@
 
 	"egretroad/internal/broker"
 	"egretroad/internal/catalogue"
+	"egretroad/internal/clock"
 	"egretroad/internal/eventlog"
 	"egretroad/internal/outcome"
 	"egretroad/internal/standin/linegroup"
@@ -296,3 +297,26 @@
 	}
 	h.g.Expect(ran).To(Equal(20))
 }
+
+// While a replica takes over, nothing may commit that its log could miss: new work
+// is refused, a transaction that wrote is rolled back, and the home can tell when
+// all that was sent has been answered.
+func TestAServerThatHandsOverCommitsNothing(t *testing.T) {
+	h := newHome(t, 0)
+	open := h.request("s1", "t1", "WRITE a one")
+	open.Begin = statement.Begin
+	h.run(open)
+	h.group.Server("s1").Slow("WRITE", 100*time.Millisecond)
+	running := make(chan broker.Result, 1)
+	go func() { running <- h.run(h.request("s1", "w1", "WRITE b one")) }()
+	h.g.Eventually(func() []string { return h.group.Server("s1").Texts() }, "2s", "2ms").Should(ContainElement("w1 WRITE b one"))
+	h.m.Hold("s1", clock.Boottime()+time.Minute)
+	h.g.Expect(h.m.Quiesce(context.Background(), "s1")).To(BeTrue())
+	h.g.Expect((<-running).Outcome).To(Equal(broker.Ran))
+	commit := h.request("s1", "t2", "COMMIT")
+	commit.Statement.Verb, commit.Joined, commit.Lane = statement.Commit, true, open.Lane
+	h.g.Expect(h.run(commit).Outcome).To(Equal(broker.NotRun))
+	h.g.Expect(h.run(h.request("s1", "w2", "WRITE b two")).Reason).To(Equal(outcome.ReasonNoPrimary))
+	h.g.Expect(h.group.Commits()).To(HaveLen(1))
+	h.g.Expect(h.ran("w2")).To(BeZero())
+}
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -108,6 +108,12 @@
 		refused.Waited = s.now() - began
 		return *refused
 	}
+	if refused := s.refusal(); refused != nil {
+		// The server began to leave, or to hand over, while the work waited.
+		s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+		refused.Waited = s.now() - began
+		return *refused
+	}
 	conn, err := s.conns.take(ctx, r.Settings)
 	if err != nil {
 		s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
@@ -247,7 +253,11 @@
 		command.After = r.After
 	}
 	asked := clock.Boottime()
+	if !l.s.sending(l.commits(r)) {
+		return *l.s.refuseHandOver()
+	}
 	replies, err := l.conn.Run(time.Now().Add(r.RunFor), command)
+	l.s.answered()
 	ran := clock.Boottime() - asked
 	l.s.note(asked, err)
 	if err != nil {
@@ -271,6 +281,14 @@
 	return result
 }
 
+// commits reports whether a statement commits a write.
+func (l *lane) commits(r Request) bool {
+	if r.Statement.Verb == statement.Commit {
+		return l.wrote
+	}
+	return r.Statement.Writes && r.Begin == 0 && !r.Joined
+}
+
 // next runs a further statement of an open transaction.
 func (l *lane) next(ctx context.Context, r Request) Result {
 	l.mu.Lock()
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -234,6 +234,25 @@
 	}
 }
 
+// Quiesce waits until no statement is on its way to a server that hands over, or
+// ctx ends; it reports whether that is so.
+func (m *Manager) Quiesce(ctx context.Context, server string) bool {
+	m.mu.Lock()
+	s := m.servers[server]
+	m.mu.Unlock()
+	for s != nil && !s.quiet() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(quiescePoll):
+		}
+	}
+	return true
+}
+
+// quiescePoll is the time between two looks at statements on their way.
+const quiescePoll = 5 * time.Millisecond
+
 // view is what a server takes from a snapshot.
 type view struct {
 	database string
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -41,6 +41,7 @@
 	leaving  time.Duration // when the server was first seen leaving, on CLOCK_BOOTTIME; 0: not
 	held     time.Duration // no new work before, on CLOCK_BOOTTIME
 	lastWork time.Duration // on CLOCK_BOOTTIME
+	running  int           // statements sent and not answered
 }
 
 func newServer(ctx context.Context, o Options, c Connector, log hclog.Logger, v view) *server {
@@ -159,10 +160,10 @@
 // refusal returns why no new work is taken at all; nil when it is.
 func (s *server) refusal() *Result {
 	s.mu.Lock()
-	leaving, held := s.leaving, s.held
+	leaving := s.leaving
 	s.mu.Unlock()
-	if held > clock.Boottime() && s.view.Load().primary {
-		return &Result{Outcome: NotRun, Reason: outcome.ReasonNoPrimary, Detail: "server " + s.spec.ID + " hands its lead over"}
+	if s.handsOver() {
+		return s.refuseHandOver()
 	}
 	if leaving != 0 && (!s.view.Load().primary || clock.Boottime()-leaving > s.options.LeavingPrimary) {
 		return &Result{Outcome: NotRun, Reason: outcome.ReasonLeaving, Detail: "server " + s.spec.ID + " is leaving"}
@@ -179,6 +180,48 @@
 	s.held = until
 }
 
+// handsOver reports whether a replica takes over from the server just now.
+func (s *server) handsOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handsOverLocked()
+}
+
+func (s *server) handsOverLocked() bool {
+	return s.held > clock.Boottime() && s.view.Load().primary
+}
+
+func (s *server) refuseHandOver() *Result {
+	return &Result{Outcome: NotRun, Reason: outcome.ReasonNoPrimary, Detail: "server " + s.spec.ID + " hands its lead over"}
+}
+
+// sending counts a statement on its way. It reports false, and counts nothing, for
+// one that commits while the server hands over: its commit could be acknowledged and
+// miss the server that takes over.
+func (s *server) sending(commits bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if commits && s.handsOverLocked() {
+		return false
+	}
+	s.running++
+	return true
+}
+
+// answered counts a statement that is no longer on its way.
+func (s *server) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// quiet reports whether no statement is on its way.
+func (s *server) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0
+}
+
 // connectCode returns the server's reason to refuse a connection.
 func connectCode(err error) statement.Code {
 	var refused *ConnectError
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -38,6 +38,8 @@
 	// handOverTimeout bounds the wait for the candidate to receive a leaving
 	// primary's log: many times the lag of a healthy replica.
 	handOverTimeout = 800 * time.Millisecond
+	// quiesceTimeout bounds the wait for statements in progress at a leaving primary.
+	quiesceTimeout = 500 * time.Millisecond
 	// handOverPoll is the time between two looks at the candidate.
 	handOverPoll = 40 * time.Millisecond
 )
@@ -175,7 +177,11 @@
 func (x *Executor) elect(ctx context.Context, e promotion.Elect) reducer.Event {
 	var target topology.Mark
 	if e.HandOver != "" {
-		x.deps.Local.Hold(e.HandOver, clock.Boottime()+handOverTimeout+claimTimeout)
+		x.deps.Local.Hold(e.HandOver, clock.Boottime()+quiesceTimeout+handOverTimeout+claimTimeout)
+		if !x.quiesce(ctx, e.HandOver) && e.Required > 0 {
+			x.deps.Log.Warn("hand_over_not_quiet", "server", e.HandOver)
+			return promotion.Elected{Database: e.Database}
+		}
 		proof, err := x.deps.Local.Position(ctx, e.HandOver, 0)
 		if err != nil {
 			x.deps.Log.Warn("hand_over_position_unknown", "server", e.HandOver, "error", err)
@@ -204,6 +210,14 @@
 	}
 }
 
+// quiesce waits until a server that hands over has answered what was sent to it:
+// its position then covers every commit that this VM may acknowledge.
+func (x *Executor) quiesce(ctx context.Context, server string) bool {
+	ctx, cancel := context.WithTimeout(ctx, quiesceTimeout)
+	defer cancel()
+	return x.deps.Local.Quiesce(ctx, server)
+}
+
 // best returns the candidate that received most, nil when none answered, and how
 // many answered.
 func (x *Executor) best(ctx context.Context, e promotion.Elect) (*standing, int) {
