--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -88,8 +88,6 @@
 	Ran     time.Duration   `msgpack:"u"` // at the server
 	// RetryAfter is when refused work may find a slot.
 	RetryAfter time.Duration `msgpack:"y,omitempty"`
-	// Load is the wait that new work of the lowest rank may expect.
-	Load time.Duration `msgpack:"q,omitempty"`
 }
 
 // Standing is a server's own account of its place in its group.
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -49,11 +49,6 @@
 	Writes bool `msgpack:"w,omitempty"`
 }
 
-// Runs reports whether the statement is one that a backend server must run.
-func (s Statement) Runs() bool {
-	return s.Verb == Read || s.Verb == Write || s.Verb == Execute || s.Verb == Commit
-}
-
 // Setting is one session value.
 type Setting struct {
 	Name  string `msgpack:"n"`
