Come back to a server's connection limit within seconds after it was full

Ruled out: slow starts (all VMs were ready within 0.7 s of the first).

Change: the limit rises every 200 ms, and a refused connection is tried again within 200 ms.

--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -23,12 +23,14 @@
 	// spareConnections are kept open beyond those in use, so that a transaction
 	// that begins does not wait for one.
 	spareConnections = 1
-	// retryFirst and retryMax bound the wait after a connection was not to be had.
+	// retryFirst and retryMax bound the wait after a connection was not to be had: a
+	// refusal costs a server little, and a dead home's connections count for seconds.
 	retryFirst = 50 * time.Millisecond
-	retryMax   = 500 * time.Millisecond
+	retryMax   = 200 * time.Millisecond
 	// raiseInterval is the time between steps by which a limit lowered by the
-	// server's refusal rises again.
-	raiseInterval = time.Second
+	// server's refusal rises again: from one to half of 16 within the three seconds
+	// that a dead home's connections count.
+	raiseInterval = 200 * time.Millisecond
 	// maxPrepared bounds the prepared statements of a connection.
 	maxPrepared = 200
 )
