Discard a connection whose value was refused; decide histories with many unanswered writes

Cause 1, found by reading: values, prepared statements and BEGIN go to the server in one write. If a value was refused and the BEGIN accepted, the connection went back to the pool inside an open transaction. It is discarded now. The new test of the broker failed before (one open transaction left) and passes.

Cause 2: the checker of read-your-writes kept dropped values in the order of its search, and gave each unanswered write a place anywhere until the end, so that a key with many of them had more orders than ten seconds can search ('undecided'). Three reductions that change no verdict keep the search short.

Property tests fix their seed in one place (internal/rapidseed).

--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -1,9 +1,7 @@
 package admission
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,18 +10,11 @@
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/outcome"
+	"egretroad/internal/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "120", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	rapidseed.MainWith(m, map[string]string{"rapid.steps": "120", "rapid.nofailfile": "true"})
 }
 
 // modelItem is what the oracle knows of one transaction.
--- a/internal/authority/fuzz_test.go
+++ b/internal/authority/fuzz_test.go
@@ -1,8 +1,6 @@
 package authority
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"egretroad/internal/platform"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/topology"
 )
 
@@ -22,17 +21,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": fuzzSeed, "rapid.checks": fuzzChecks, "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	rapidseed.MainWith(m, map[string]string{"rapid.seed": fuzzSeed, "rapid.checks": fuzzChecks, "rapid.nofailfile": "true"})
 }
 
 // fault is one change of the world's state.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -320,3 +320,23 @@
 	h.g.Expect(h.group.Commits()).To(HaveLen(1))
 	h.g.Expect(h.ran("w2")).To(BeZero())
 }
+
+// A connection on which a session's value was refused, but the transaction begun,
+// would run the next work inside that transaction.
+func TestARefusedValueLeavesNoOpenTransactionBehind(t *testing.T) {
+	for name, change := range map[string]func(*broker.Request){
+		"transaction":  func(r *broker.Request) { r.Begin = statement.Begin },
+		"leading read": func(r *broker.Request) { r.Leading = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHome(t, 0)
+			h.group.Server("s1").Refuse("SET", "FAILED", 1)
+			r := h.request("s1", "r1", "READ a")
+			r.Settings = []statement.Setting{{Name: "tz", Value: "north"}}
+			change(&r)
+			h.g.Expect(h.run(r).Outcome).To(Equal(broker.NotRun))
+			h.g.Expect(h.ran("r1")).To(BeZero())
+			h.g.Eventually(h.group.Server("s1").OpenTransactions, "2s", "5ms").Should(BeZero())
+		})
+	}
+}
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -215,8 +215,10 @@
 		}
 		isBegin := commands[i].Verb == statement.Begin || commands[i].Verb == statement.BeginRead
 		if !isBegin {
-			// The connection does not have what was noted as done.
-			l.conn.settings, l.conn.prepared = map[string]string{"": ""}, map[string]bool{}
+			// The connection does not have what was noted as done, and a BEGIN of
+			// the same write may have opened a transaction on it.
+			l.s.conns.discard(l.conn)
+			l.conn = nil
 			return Result{Outcome: NotRun, Reason: outcome.ReasonUnavailable, Code: reply.Code, Detail: reply.Detail}, false
 		}
 		return Result{Outcome: NotRun, Reason: RefusalReason(reply.Code), Code: reply.Code, Detail: reply.Detail}, false
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -1,15 +1,14 @@
 package control_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"egretroad/internal/platform"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/topology"
 )
 
@@ -17,16 +16,7 @@
 
 // TestMain fixes the seed of rapid unless the command line gives one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	if !given["rapid.seed"] {
-		_ = flag.Set("rapid.seed", fuzzSeed)
-	}
-	if !given["rapid.checks"] {
-		_ = flag.Set("rapid.checks", "25")
-	}
-	os.Exit(m.Run())
+	rapidseed.MainWith(m, map[string]string{"rapid.seed": fuzzSeed, "rapid.checks": "25"})
 }
 
 // fuzzed applies random faults and changes to a simulated fleet.
--- a/internal/e2e/history/history_test.go
+++ b/internal/e2e/history/history_test.go
@@ -1,6 +1,7 @@
 package history_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,6 +60,29 @@
 	}
 }
 
+// Writes without an answer may take their place at any later time. A key with many
+// of them must be decided as fast as one without.
+func TestManyUnansweredWritesAreDecided(t *testing.T) {
+	const n = 24
+	var ops []history.Operation
+	var commits []history.Commit
+	for i := range n {
+		lost, kept := fmt.Sprintf("lost-%d", i), fmt.Sprintf("kept-%d", i)
+		ops = append(ops, write("k", lost, history.Unknown, 1, 2), write("k", kept, history.Unknown, 1, 2),
+			read("k", kept, time.Duration(10+4*i), time.Duration(11+4*i)), read("k", lost, time.Duration(12+4*i), time.Duration(13+4*i)))
+		commits = append(commits, committed("k", lost, false), committed("k", kept, true), committed("k", "unread-"+kept, true))
+		ops = append(ops, write("k", "unread-"+kept, history.Unknown, 1, 2))
+	}
+	ledger := history.NewLedger(commits)
+	g := NewWithT(t)
+	g.Expect(history.CheckReadYourWrites(ops, ledger)).To(BeEmpty())
+	stale := append(ops, read("k", "kept-0", 1000, 1001))
+	g.Expect(rules(history.CheckReadYourWrites(stale, ledger))).To(ConsistOf(history.RuleReadYourWrites))
+	early := append(ops, write("k", "late", history.Unknown, 1002, 1003), read("k", "late", 1000, 1001))
+	ledger = history.NewLedger(append(commits, committed("k", "late", false)))
+	g.Expect(rules(history.CheckReadYourWrites(early, ledger))).To(ConsistOf(history.RuleReadYourWrites))
+}
+
 func TestWrites(t *testing.T) {
 	ledger := history.NewLedger([]history.Commit{
 		committed("once", "v", true), committed("twice", "v", true), committed("twice", "v", true), committed("lost", "v", false),
--- a/internal/e2e/history/register.go
+++ b/internal/e2e/history/register.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -15,43 +14,27 @@
 // reported as undecided.
 const checkTimeout = 10 * time.Second
 
-// registerState is the state of one key: the value that reads must see, and
-// values that the primary showed before a promotion dropped them, comma separated.
-type registerState struct {
-	value   string
-	dropped string
-}
-
 // registerInput is one operation on a key.
 type registerInput struct {
-	write   bool
-	dropped bool // the write was committed, but not acknowledged, and then dropped
-	value   string
+	write bool
+	value string
 }
 
-// registerModel is a register in which a write that was never acknowledged may
-// be seen and vanish again.
+// registerModel is a register: a read returns the last value written.
 var registerModel = porcupine.Model{
-	Init: func() any { return registerState{} },
+	Init: func() any { return "" },
 	Step: func(state, input, output any) (bool, any) {
-		s, in := state.(registerState), input.(registerInput)
-		switch {
-		case in.dropped:
-			return true, registerState{s.value, s.dropped + "," + in.value}
-		case in.write:
-			return true, registerState{in.value, s.dropped}
-		}
-		read := output.(string)
-		if read == s.value || read != "" && slices.Contains(strings.Split(s.dropped, ","), read) {
-			return true, s
+		in := input.(registerInput)
+		if in.write {
+			return true, in.value
 		}
-		return false, s
+		return output.(string) == state.(string), state
 	},
 	Equal: func(a, b any) bool { return a == b },
 	DescribeOperation: func(input, output any) string {
 		in := input.(registerInput)
 		if in.write {
-			return fmt.Sprintf("write(%q, dropped=%t)", in.value, in.dropped)
+			return fmt.Sprintf("write(%q)", in.value)
 		}
 		return fmt.Sprintf("read() = %q", output)
 	},
@@ -65,48 +48,104 @@
 // must be by one caller that changes proxies, or by callers that connect anew
 // for each operation: both must see every write acknowledged before.
 func CheckReadYourWrites(ops []Operation, l *Ledger) []Violation {
-	keys := map[registerKey][]porcupine.Operation{}
-	for i, op := range ops {
-		if o, ok := registerOperation(op, l, i); ok {
-			k := registerKey{op.Database, op.Key}
-			keys[k] = append(keys[k], o)
-		}
+	keys := map[registerKey][]Operation{}
+	for _, op := range ops {
+		k := registerKey{op.Database, op.Key}
+		keys[k] = append(keys[k], op)
 	}
 	var found []Violation
 	for _, k := range sortedKeys(keys) {
-		switch porcupine.CheckOperationsTimeout(registerModel, keys[k], checkTimeout) {
+		ordered, early := registerOperations(keys[k], l)
+		found = append(found, early...)
+		switch porcupine.CheckOperationsTimeout(registerModel, ordered, checkTimeout) {
 		case porcupine.Illegal:
-			found = append(found, Violation{RuleReadYourWrites, k.key, describe(keys[k])})
+			found = append(found, Violation{RuleReadYourWrites, k.key, describe(ordered)})
 		case porcupine.Unknown:
-			found = append(found, Violation{RuleUndecided, k.key, fmt.Sprintf("%d operations not ordered in %v", len(keys[k]), checkTimeout)})
+			found = append(found, Violation{RuleUndecided, k.key, fmt.Sprintf("%d operations not ordered in %v", len(ordered), checkTimeout)})
 		}
 	}
 	return found
 }
 
-// registerOperation converts an operation; those without effect or answer are
-// left out.
-func registerOperation(op Operation, l *Ledger, id int) (porcupine.Operation, bool) {
-	o := porcupine.Operation{
-		ClientId: id,
-		Call:     int64(op.Call),
-		Return:   int64(op.Return),
-		Output:   op.Value,
+// never is the return of a write that was not answered: it may take its place at
+// any time after its call.
+const never = int64(math.MaxInt64)
+
+// registerOperations converts the operations on one key to those that the search
+// must order. Three reductions keep the search short without a change of its
+// verdict, as values are unique:
+//   - A write that was never acknowledged and that a promotion dropped may be seen
+//     and vanish again. It never replaces a value that later reads need, so a read
+//     of it is allowed from the write's call on, and neither needs an order. Reads
+//     before the call are returned as violations.
+//   - A write without an answer that no read saw can come last.
+//   - A write without an answer that reads saw comes immediately before one of them,
+//     so after the first of their calls and before the first of their ends.
+func registerOperations(ops []Operation, l *Ledger) ([]porcupine.Operation, []Violation) {
+	dropped := map[string]time.Duration{} // value to the write's call
+	reads := map[string]seen{}
+	for _, op := range ops {
+		switch {
+		case op.Kind == Write && op.Outcome != OK && l.fate(op) == Dropped:
+			dropped[op.Value] = op.Call
+		case op.Kind == Read && op.Outcome == OK:
+			reads[op.Value] = reads[op.Value].and(op)
+		}
+	}
+	var ordered []porcupine.Operation
+	var early []Violation
+	for i, op := range ops {
+		call, lost := dropped[op.Value]
+		switch {
+		case lost && op.Kind == Read && op.Outcome == OK && op.Return < call:
+			early = append(early, Violation{RuleReadYourWrites, op.Key, fmt.Sprintf("value %q was read before it was written", op.Value)})
+		case lost:
+		default:
+			if o, ok := registerOperation(op, l, reads); ok {
+				o.ClientId = i
+				ordered = append(ordered, o)
+			}
+		}
 	}
-	if op.Kind == Read {
-		o.Input = registerInput{}
-		return o, op.Outcome == OK
+	return ordered, early
+}
+
+// seen tells when a value was read.
+type seen struct {
+	known     bool
+	firstCall time.Duration
+	firstEnd  time.Duration
+}
+
+func (s seen) and(read Operation) seen {
+	if !s.known {
+		return seen{true, read.Call, read.Return}
+	}
+	return seen{true, min(s.firstCall, read.Call), min(s.firstEnd, read.Return)}
+}
+
+// registerOperation converts an operation whose effect lasts; those without effect
+// or answer are left out.
+func registerOperation(op Operation, l *Ledger, reads map[string]seen) (porcupine.Operation, bool) {
+	o := porcupine.Operation{
+		Input: registerInput{write: op.Kind == Write, value: op.Value}, Output: op.Value,
+		Call: int64(op.Call), Return: int64(op.Return),
 	}
-	fate := l.fate(op)
-	o.Input = registerInput{write: true, value: op.Value, dropped: op.Outcome != OK && fate == Dropped}
 	if op.Outcome == OK {
 		return o, true
 	}
-	o.Return = math.MaxInt64
-	return o, fate != Never
+	read := reads[op.Value]
+	if op.Kind == Read || l.fate(op) == Never || !read.known {
+		return o, false
+	}
+	o.Return = never
+	if read.firstEnd >= op.Call {
+		o.Call, o.Return = int64(max(op.Call, read.firstCall)), int64(read.firstEnd)
+	}
+	return o, true
 }
 
-func sortedKeys(keys map[registerKey][]porcupine.Operation) []registerKey {
+func sortedKeys(keys map[registerKey][]Operation) []registerKey {
 	all := make([]registerKey, 0, len(keys))
 	for k := range keys {
 		all = append(all, k)
@@ -127,7 +166,7 @@
 	b.WriteString("no order explains:")
 	for _, o := range ops {
 		end := "never"
-		if o.Return != math.MaxInt64 {
+		if o.Return != never {
 			end = time.Duration(o.Return).Round(time.Microsecond).String()
 		}
 		fmt.Fprintf(&b, " [%v-%s %s]", time.Duration(o.Call).Round(time.Microsecond), end,
--- a/internal/gateway/oracle_test.go
+++ b/internal/gateway/oracle_test.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -12,18 +10,11 @@
 	"pgregory.net/rapid"
 
 	"egretroad/internal/outcome"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/txn"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 // oracle is a plain model of one caller's session.
 type oracle struct {
--- a/internal/home/rewrite_test.go
+++ b/internal/home/rewrite_test.go
@@ -1,9 +1,7 @@
 package home
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -12,19 +10,12 @@
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/pool"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/topology"
 	"egretroad/internal/txn"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 // serverModel is a simple server: it answers messages and ignores them after an
 // error up to a Sync. Statements named bad cannot be parsed.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,8 +1,6 @@
 package routing_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -11,19 +9,12 @@
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/outcome"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/routing"
 	"egretroad/internal/topology"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 var self = topology.VM{ID: "vm1", DataCentre: "dc-a", Region: "r1"}
 
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -30,20 +30,20 @@
 		}
 		s.group.mu.Lock()
 		refused := s.down
+		open := &conn{s: s, w: bufio.NewWriter(c), values: map[string]string{}, prepared: map[string]string{}}
 		if !refused {
-			s.conns[c] = struct{}{}
+			s.conns[c] = open
 		}
 		s.group.mu.Unlock()
 		if refused {
 			_ = c.Close() // the server is down
 			continue
 		}
-		go s.serve(c)
+		go s.serve(open, c)
 	}
 }
 
-func (s *Server) serve(nc net.Conn) {
-	c := &conn{s: s, w: bufio.NewWriter(nc), values: map[string]string{}, prepared: map[string]string{}}
+func (s *Server) serve(c *conn, nc net.Conn) {
 	defer func() {
 		s.group.mu.Lock()
 		delete(s.conns, nc)
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -47,7 +47,7 @@
 	listener net.Listener
 	log      []Commit // applied
 	term     uint64   // of the log
-	conns    map[net.Conn]struct{}
+	conns    map[net.Conn]*conn
 	down     bool
 	dark     bool                     // answers nothing
 	lose     int                      // answers still to be lost after the statement has run
@@ -70,7 +70,7 @@
 			return nil, err
 		}
 		s := &Server{
-			ID: id, group: g, listener: listener, term: 1, conns: map[net.Conn]struct{}{},
+			ID: id, group: g, listener: listener, term: 1, conns: map[net.Conn]*conn{},
 			refuse: map[string]int{}, delay: map[string]time.Duration{}, max: 100,
 		}
 		g.servers[id] = s
@@ -239,6 +239,19 @@
 	return s.most
 }
 
+// OpenTransactions returns the number of connections inside a transaction.
+func (s *Server) OpenTransactions() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	n := 0
+	for _, c := range s.conns {
+		if c.txn {
+			n++
+		}
+	}
+	return n
+}
+
 // closeConns closes every connection. The caller holds the group's mutex.
 func (s *Server) closeConns() {
 	for c := range s.conns {
--- a/internal/standin/pgserver/oracle_test.go
+++ b/internal/standin/pgserver/oracle_test.go
@@ -2,27 +2,21 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"egretroad/internal/rapidseed"
 )
 
 // TestMain fixes the seed of the stateful tests unless one is given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	rapidseed.MainWith(m, map[string]string{"rapid.seed": "1"})
 }
 
 // oracle is a table with one open transaction, as simple as can be.
