Share the wait for a slot between the homes of both paths

The homes of PostgreSQL servers and of the platform's servers each had their own copy of the waits, the timer and the clock around the admission machine. internal/gate has them once: 130 lines go. Its mutex also guards the fields of its owner that were guarded together with the machine, so that the order of locks is as before. No change of behaviour is meant; the tests of both homes pass unchanged under -race.

--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -76,7 +76,7 @@
 }
 
 // demand tells how many connections are in use and how many more waiting work
-// could use. The caller may hold the server's mutex.
+// could use. The caller may hold the gate's mutex.
 func (c *connections) demand(used, wanted int) {
 	c.mu.Lock()
 	c.used, c.wanted = used, wanted
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -54,10 +54,10 @@
 
 // run runs one statement.
 func (s *server) run(ctx context.Context, r Request) Result {
-	s.mu.Lock()
+	s.gate.Lock()
 	s.lastWork = clock.Boottime()
 	l := s.lanes[r.Lane]
-	s.mu.Unlock()
+	s.gate.Unlock()
 	var result Result
 	switch {
 	case r.Joined && l == nil:
@@ -80,9 +80,9 @@
 	silence, _ := s.health.silence(now)
 	proof, _ := s.health.proven(now)
 	v := s.view.Load()
-	s.mu.Lock()
-	waiting, transactions := s.queue.Waiting(), len(s.lanes)
-	s.mu.Unlock()
+	s.gate.Lock()
+	waiting, transactions := s.gate.MachineLocked().Waiting(), len(s.lanes)
+	s.gate.Unlock()
 	s.log.Info("home_statement", "id", r.Statement.ID, "session", r.Caller, "entry", r.Entry, "born", s.spec.Born,
 		"home", v.home, "primary", v.primary, "waiting", waiting, "transactions", transactions, "after", r.After.Position,
 		"after_term", r.After.Term, "proof", proof.Mark.Position, "proof_term", proof.Mark.Term, "proof_age", proof.Age.Round(time.Millisecond),
@@ -96,7 +96,7 @@
 	if refused := s.refusal(); refused != nil {
 		return *refused
 	}
-	began := s.now()
+	began := s.gate.Now()
 	l := s.newLane(r)
 	ctx, cancel := context.WithTimeout(ctx, r.QueueFor)
 	defer cancel()
@@ -105,28 +105,28 @@
 		Deadline: began + r.QueueFor, Bytes: len(r.Statement.Text),
 	}}, l.id)
 	if refused := queueRefusal(effect, err); refused != nil {
-		refused.Waited = s.now() - began
+		refused.Waited = s.gate.Now() - began
 		return *refused
 	}
 	if refused := s.refusal(); refused != nil {
 		// The server began to leave, or to hand over, while the work waited.
-		s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
-		refused.Waited = s.now() - began
+		s.gate.Step(admission.Event{Type: admission.EventEnd, ID: l.id})
+		refused.Waited = s.gate.Now() - began
 		return *refused
 	}
 	conn, err := s.conns.take(ctx, r.Settings)
 	if err != nil {
-		s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
-		return Result{Outcome: NotRun, Reason: outcome.ReasonConnect, Detail: err.Error(), Waited: s.now() - began}
+		s.gate.Step(admission.Event{Type: admission.EventEnd, ID: l.id})
+		return Result{Outcome: NotRun, Reason: outcome.ReasonConnect, Detail: err.Error(), Waited: s.gate.Now() - began}
 	}
 	l.conn, l.slot = conn, true
-	waited := s.now() - began
+	waited := s.gate.Now() - began
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.Begin != 0 {
-		s.mu.Lock()
+		s.gate.Lock()
 		s.lanes[r.Lane] = l
-		s.mu.Unlock()
+		s.gate.Unlock()
 	}
 	l.setBusy(true)
 	result := l.first(r)
@@ -147,14 +147,13 @@
 }
 
 func (s *server) newLane(r Request) *lane {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextID++
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	limit := r.IdleFor
 	if limit <= 0 {
 		limit = defaultIdle
 	}
-	return &lane{s: s, id: s.nextID, plain: r.Begin == statement.Begin, idleLimit: limit + idleMargin}
+	return &lane{s: s, id: s.gate.NewIDLocked(), plain: r.Begin == statement.Begin, idleLimit: limit + idleMargin}
 }
 
 // first adapts the connection, opens the transaction if one is asked for, and
@@ -301,7 +300,7 @@
 		return Result{Outcome: NotRun, Reason: outcome.ReasonTxnAborted, Detail: "the transaction has ended and was rolled back"}
 	}
 	l.setBusy(true)
-	began := l.s.now()
+	began := l.s.gate.Now()
 	if !l.slot {
 		effect, err := l.s.await(ctx, admission.Event{Type: admission.EventStatement, ID: l.id, Deadline: began + r.QueueFor}, l.id)
 		if refused := queueRefusal(effect, err); refused != nil {
@@ -310,7 +309,7 @@
 		}
 		l.slot = true
 	}
-	waited := l.s.now() - began
+	waited := l.s.gate.Now() - began
 	result, usable := l.prepare(r)
 	if usable {
 		result = l.execute(r)
@@ -327,7 +326,7 @@
 	open := inTxn && result.Outcome == Ran && result.Reply.State == statement.InTxn
 	if open {
 		l.slot = false
-		l.s.step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
+		l.s.gate.Step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
 		l.setBusy(false)
 		return
 	}
@@ -352,18 +351,18 @@
 		return
 	}
 	l.ended = true
-	l.s.mu.Lock()
+	l.s.gate.Lock()
 	if l.s.lanes[id] == l {
 		delete(l.s.lanes, id)
 	}
-	l.s.mu.Unlock()
+	l.s.gate.Unlock()
 	conn := l.conn
 	l.conn = nil
 	if conn != nil && rollBack {
 		if l.slot {
 			// A rollback takes no slot at the server.
 			l.slot = false
-			l.s.step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
+			l.s.gate.Step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
 		}
 		replies, err := conn.Run(time.Now().Add(l.s.options.ProbeTimeout), own(statement.Rollback))
 		if err != nil || replies[0].State != statement.Idle {
@@ -374,14 +373,14 @@
 	if conn != nil {
 		l.s.conns.put(conn)
 	}
-	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+	l.s.gate.Step(admission.Event{Type: admission.EventEnd, ID: l.id})
 }
 
 // release ends a lane whose session has no further use for it.
 func (s *server) release(id LaneID) {
-	s.mu.Lock()
+	s.gate.Lock()
 	l := s.lanes[id]
-	s.mu.Unlock()
+	s.gate.Unlock()
 	if l == nil {
 		return
 	}
--- a/internal/broker/overdue.go
+++ b/internal/broker/overdue.go
@@ -25,9 +25,9 @@
 // watchOverdue watches the running statement of a transaction until stop.
 func (s *server) watchOverdue(id admission.ID, statement string) *overdueWatch {
 	w := &overdueWatch{s: s, id: id, statement: statement}
-	s.mu.Lock()
-	after, watched := s.queue.OverdueAfter(id)
-	s.mu.Unlock()
+	s.gate.Lock()
+	after, watched := s.gate.MachineLocked().OverdueAfter(id)
+	s.gate.Unlock()
 	if watched {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -59,6 +59,6 @@
 		w.timer.Reset(w.after)
 	default:
 		w.s.log.Info("slot_written_off", "id", w.statement, "after", w.after)
-		w.s.step(admission.Event{Type: admission.EventWriteOff, ID: w.id})
+		w.s.gate.Step(admission.Event{Type: admission.EventWriteOff, ID: w.id})
 	}
 }
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"egretroad/internal/admission"
 	"egretroad/internal/clock"
+	"egretroad/internal/gate"
 	"egretroad/internal/outcome"
 	"egretroad/internal/statement"
 	"egretroad/internal/topology"
@@ -27,16 +27,10 @@
 	health    health
 	admin     *admin
 	conns     *connections
-	began     time.Time // the queue's clock counts from here
 	ctx       context.Context
 	cancel    context.CancelFunc
 
-	mu       sync.Mutex // guards the fields below
-	queue    *admission.Machine
-	waiters  map[admission.ID]chan admission.Effect
-	nextID   admission.ID
-	timer    *time.Timer
-	timerAt  time.Duration
+	gate     *gate.Gate // its mutex guards the fields below
 	lanes    map[LaneID]*lane
 	leaving  time.Duration // when the server was first seen leaving, on CLOCK_BOOTTIME; 0: not
 	held     time.Duration // no new work before, on CLOCK_BOOTTIME
@@ -47,14 +41,12 @@
 func newServer(ctx context.Context, o Options, c Connector, log hclog.Logger, v view) *server {
 	s := &server{
 		options: o, connector: c, log: log.With("server", v.spec.ID), database: v.database, spec: v.spec,
-		began: time.Now(), queue: admission.New(o.Admission),
-		waiters: map[admission.ID]chan admission.Effect{}, lanes: map[LaneID]*lane{},
-		lastWork: clock.Boottime(),
+		lanes: map[LaneID]*lane{}, lastWork: clock.Boottime(),
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.admin = newAdmin(s)
 	s.conns = newConnections(s)
-	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.gate = gate.New(o.Admission, s.conns.demand)
 	s.update(v)
 	return s
 }
@@ -62,18 +54,18 @@
 // update takes a newer snapshot over.
 func (s *server) update(v view) {
 	old := s.view.Swap(&v)
-	s.mu.Lock()
+	s.gate.Lock()
 	if v.spec.State != topology.ServerLeaving {
 		s.leaving = 0
 	} else if s.leaving == 0 {
 		s.leaving = clock.Boottime()
 	}
-	s.mu.Unlock()
+	s.gate.Unlock()
 	if old != nil && old.limit == v.limit && old.spec.Slots == v.spec.Slots {
 		return
 	}
 	s.conns.setLimit(v.limit)
-	s.step(admission.Event{Type: admission.EventConfigure, Config: &admission.Config{
+	s.gate.Step(admission.Event{Type: admission.EventConfigure, Config: &admission.Config{
 		Slots: v.spec.Slots, ConnectionLimit: v.limit,
 	}})
 }
@@ -82,7 +74,7 @@
 // stood in for another home long enough without work.
 func (s *server) upkeep() bool {
 	now := clock.Boottime()
-	s.mu.Lock()
+	s.gate.Lock()
 	var expired []LaneID
 	for id, l := range s.lanes {
 		if l.idleFor(now) > l.idleLimit {
@@ -90,7 +82,7 @@
 		}
 	}
 	unused := len(s.lanes) == 0 && now-s.lastWork > s.options.IdleStandIn
-	s.mu.Unlock()
+	s.gate.Unlock()
 	for _, id := range expired {
 		s.log.Info("transaction_expired", "lane", id.Number, "vm", id.VM)
 		s.release(id)
@@ -101,11 +93,11 @@
 
 func (s *server) close() {
 	s.cancel()
-	s.mu.Lock()
-	s.timer.Stop()
+	s.gate.Stop()
+	s.gate.Lock()
 	lanes := s.lanes
 	s.lanes = map[LaneID]*lane{}
-	s.mu.Unlock()
+	s.gate.Unlock()
 	for _, l := range lanes {
 		l.abandon()
 	}
@@ -159,9 +151,9 @@
 
 // refusal returns why no new work is taken at all; nil when it is.
 func (s *server) refusal() *Result {
-	s.mu.Lock()
+	s.gate.Lock()
 	leaving := s.leaving
-	s.mu.Unlock()
+	s.gate.Unlock()
 	if s.handsOver() {
 		return s.refuseHandOver()
 	}
@@ -175,15 +167,15 @@
 }
 
 func (s *server) hold(until time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	s.held = until
 }
 
 // handsOver reports whether a replica takes over from the server just now.
 func (s *server) handsOver() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	return s.handsOverLocked()
 }
 
@@ -199,8 +191,8 @@
 // one that commits while the server hands over: its commit could be acknowledged and
 // miss the server that takes over.
 func (s *server) sending(commits bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	if commits && s.handsOverLocked() {
 		return false
 	}
@@ -210,15 +202,15 @@
 
 // answered counts a statement that is no longer on its way.
 func (s *server) answered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	s.running--
 }
 
 // quiet reports whether no statement is on its way.
 func (s *server) quiet() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	return s.running == 0
 }
 
@@ -231,81 +223,31 @@
 	return statement.None
 }
 
-// now returns the time on the queue's clock.
-func (s *server) now() time.Duration { return time.Since(s.began) }
-
-// step feeds an event to the queue.
-func (s *server) step(e admission.Event) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stepLocked(e)
-}
-
-func (s *server) stepLocked(e admission.Event) {
-	e.Now = s.now()
-	for _, effect := range s.queue.Step(e) {
-		if w, waiting := s.waiters[effect.ID]; waiting {
-			delete(s.waiters, effect.ID)
-			w <- effect
-		}
-	}
-	s.conns.demand(s.queue.ConnectionDemand())
-	at, waiting := s.queue.NextDeadline()
-	if waiting && (s.timerAt == 0 || at < s.timerAt) {
-		s.timerAt = at
-		s.timer.Reset(max(0, at-s.now()))
-	}
-}
-
-// tick lets waiting work expire.
-func (s *server) tick() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timerAt = 0
-	s.stepLocked(admission.Event{Type: admission.EventTick})
-}
-
 // connectionsChanged tells the queue how many connections are open, and refuses
 // what waits while there is none to be had.
 func (s *server) connectionsChanged(open int, down error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stepLocked(admission.Event{Type: admission.EventConnections, Connections: open})
-	if down == nil {
-		return
-	}
-	for id, w := range s.waiters {
-		delete(s.waiters, id)
-		w <- admission.Effect{Type: admission.EffectRefuse, ID: id, Reason: outcome.ReasonConnect}
-		s.stepLocked(admission.Event{Type: admission.EventEnd, ID: id})
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	s.gate.StepLocked(admission.Event{Type: admission.EventConnections, Connections: open})
+	if down != nil {
+		s.gate.RefuseWaitingLocked(outcome.ReasonConnect, 0)
 	}
 }
 
 // await feeds an event that asks for a slot and waits for its effect.
 func (s *server) await(ctx context.Context, e admission.Event, id admission.ID) (admission.Effect, error) {
-	w := make(chan admission.Effect, 1)
-	s.mu.Lock()
-	s.waiters[id] = w
-	s.stepLocked(e)
-	s.mu.Unlock()
-	select {
-	case effect := <-w:
-		return effect, nil
-	case <-ctx.Done():
-		s.mu.Lock()
-		delete(s.waiters, id)
-		s.stepLocked(admission.Event{Type: admission.EventEnd, ID: id})
-		s.mu.Unlock()
-		return admission.Effect{}, ctx.Err()
-	}
+	s.gate.Lock()
+	w := s.gate.QueueLocked(e, id, nil)
+	s.gate.Unlock()
+	return s.gate.Receive(ctx, w)
 }
 
 // busy returns the number of statements that run or wait and of open transactions.
 func (s *server) busy() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	used, _ := s.queue.ConnectionDemand()
-	return used + s.queue.Waiting()
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	used, _ := s.gate.MachineLocked().ConnectionDemand()
+	return used + s.gate.MachineLocked().Waiting()
 }
 
 // dump returns the state for operators.
@@ -314,12 +256,12 @@
 	silence, cause := s.health.silence(now)
 	proof, _ := s.health.proven(now)
 	v := s.view.Load()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	used, wanted := s.queue.ConnectionDemand()
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	used, wanted := s.gate.MachineLocked().ConnectionDemand()
 	return map[string]any{
 		"database": s.database, "home": v.home, "primary": v.primary, "born": s.spec.Born,
-		"waiting": s.queue.Waiting(), "used": used, "wanted": wanted, "limit": v.limit, "transactions": len(s.lanes),
+		"waiting": s.gate.MachineLocked().Waiting(), "used": used, "wanted": wanted, "limit": v.limit, "transactions": len(s.lanes),
 		"silence": silence.String(), "error": cause, "proof": proof.Mark, "proofAge": proof.Age.String(),
 	}
 }
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -41,7 +41,7 @@
 
 func newExchange(ctx context.Context, l *lane, b txn.Batch, sink txn.Sink, deadline time.Duration) *exchange {
 	return &exchange{
-		ctx: ctx, l: l, b: b, conn: l.conn, deadline: l.s.began.Add(deadline),
+		ctx: ctx, l: l, b: b, conn: l.conn, deadline: l.s.gate.At(deadline),
 		askStatus: b.MayCommit && !b.Flush && l.request.Access == catalogue.AccessWrite,
 		answer:    answer{sink: sink, heldLimit: l.s.options.HeldBytes, guard: l.guard},
 	}
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -46,11 +46,10 @@
 var _ txn.Lane = (*lane)(nil)
 
 func (s *server) newLane(r txn.Request, deadline time.Duration) *lane {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextID++
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	return &lane{
-		s: s, id: s.nextID, request: r, stats: s.kindOf(r.Kind), settings: planSettings(r),
+		s: s, id: s.gate.NewIDLocked(), request: r, stats: s.kindOf(r.Kind), settings: planSettings(r),
 		deadline: deadline, first: true, txStatus: 'I', slot: true,
 	}
 }
@@ -80,16 +79,16 @@
 	if conn != nil || err != nil {
 		return conn, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.now()))
+	ctx, cancel := context.WithTimeout(ctx, max(0, l.deadline-l.s.gate.Now()))
 	defer cancel()
 	return l.s.pool.Take(ctx, l.settings.key)
 }
 
 // opened registers the lane and starts its idle timer.
 func (l *lane) opened() {
-	l.s.mu.Lock()
+	l.s.gate.Lock()
 	l.s.openLanes[l] = struct{}{}
-	l.s.mu.Unlock()
+	l.s.gate.Unlock()
 	l.mu.Lock()
 	l.idle = time.AfterFunc(min(l.request.IdleInTxn, l.s.options.FirstBatchTimeout), l.expireIdle)
 	l.mu.Unlock()
@@ -161,7 +160,7 @@
 	if err := l.begin(); err != nil {
 		return txn.Result{}, err
 	}
-	began := l.s.now()
+	began := l.s.gate.Now()
 	result, err := l.runAdmitted(ctx, b, sink)
 	l.count(began, err)
 	if err == nil && result.TxStatus != 'I' && l.pause() {
@@ -193,7 +192,7 @@
 	}
 	if l.slot {
 		l.slot = false
-		l.s.step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
+		l.s.gate.Step(admission.Event{Type: admission.EventStatementEnd, ID: l.id})
 	}
 	l.running = false
 	l.idle.Reset(l.request.IdleInTxn)
@@ -211,7 +210,7 @@
 func (l *lane) runAdmitted(ctx context.Context, b txn.Batch, sink txn.Sink) (txn.Result, error) {
 	deadline := l.deadline
 	if !l.first {
-		deadline = l.s.now() + l.request.Timeout
+		deadline = l.s.gate.Now() + l.request.Timeout
 	}
 	if !l.slot {
 		e := admission.Event{Type: admission.EventStatement, ID: l.id, Deadline: deadline}
@@ -225,7 +224,7 @@
 			return txn.Result{}, err
 		}
 	}
-	if l.s.now() >= deadline {
+	if l.s.gate.Now() >= deadline {
 		return txn.Result{}, notRun(outcome.ReasonDeadline, "the deadline passed before the statement was sent")
 	}
 	l.runDeadline = deadline
@@ -266,10 +265,10 @@
 // count records a batch.
 func (l *lane) count(began time.Duration, err error) {
 	s := l.s
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	l.stats.batches++
-	_ = l.stats.latency.RecordValue(clampUS(s.now() - began))
+	_ = l.stats.latency.RecordValue(clampUS(s.gate.Now() - began))
 	if err != nil {
 		l.stats.failures++
 	}
@@ -280,9 +279,9 @@
 	l.idle.Stop()
 	l.leaveServer()
 	s := l.s
-	s.mu.Lock()
+	s.gate.Lock()
 	delete(s.openLanes, l)
-	s.mu.Unlock()
+	s.gate.Unlock()
 	s.lanes.Done()
 }
 
@@ -299,7 +298,7 @@
 	} else {
 		l.s.pool.Put(conn)
 	}
-	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+	l.s.gate.Step(admission.Event{Type: admission.EventEnd, ID: l.id})
 }
 
 // giveUpConnection returns the lane's connection, which then is the caller's; nil
@@ -315,7 +314,7 @@
 // guard starts a timer that takes the connection away from a caller that does
 // not read its answer by the statement's deadline.
 func (l *lane) guard() *time.Timer {
-	left := l.s.began.Add(l.runDeadline).Add(l.s.options.CancelGrace)
+	left := l.s.gate.At(l.runDeadline).Add(l.s.options.CancelGrace)
 	return time.AfterFunc(time.Until(left), l.abandon)
 }
 
@@ -326,7 +325,7 @@
 		return
 	}
 	l.s.pool.Discard(conn)
-	l.s.step(admission.Event{Type: admission.EventEnd, ID: l.id})
+	l.s.gate.Step(admission.Event{Type: admission.EventEnd, ID: l.id})
 }
 
 // clean leaves the connection without an open transaction or a cancel request
--- a/internal/home/open.go
+++ b/internal/home/open.go
@@ -34,8 +34,8 @@
 
 // enter counts a lane, unless the server is being drained.
 func (s *server) enter() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	if err := s.refusalNow(true); err != nil {
 		return err
 	}
@@ -44,7 +44,7 @@
 }
 
 func (s *server) admit(ctx context.Context, r txn.Request) (*lane, error) {
-	deadline := s.now() + r.Timeout
+	deadline := s.gate.Now() + r.Timeout
 	if err := s.checkServer(r); err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	if err := l.connect(ctx); err != nil {
-		s.withdraw(l.id)
+		s.gate.Withdraw(l.id)
 		return nil, err
 	}
 	l.opened()
--- a/internal/home/server.go
+++ b/internal/home/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretroad/internal/admission"
+	"egretroad/internal/gate"
 	"egretroad/internal/outcome"
 	"egretroad/internal/pool"
 	"egretroad/internal/topology"
@@ -22,34 +23,19 @@
 	pool     *pool.Pool
 	status   *statusLoop
 	budget   *retryBudget
-	began    time.Time // the machine's clock counts from here
 	view     atomic.Pointer[view]
 	lanes    sync.WaitGroup
 
-	mu        sync.Mutex // guards the fields below
-	machine   *admission.Machine
-	waiters   map[admission.ID]*waiter
-	nextID    admission.ID
-	timer     *time.Timer
-	timerAt   time.Duration // 0: not set
+	gate      *gate.Gate // its mutex guards the fields below
 	refuse    outcome.Reason
 	kinds     map[string]*kindStats
 	openLanes map[*lane]struct{}
 }
 
-// waiter is work that waits for an effect.
-type waiter struct {
-	effect chan admission.Effect
-	isNew  bool
-	stats  *kindStats
-}
-
 func newServer(options Options, deps Deps, v view) *server {
 	s := &server{
 		options: options, deps: deps, id: v.spec.ID, database: v.group.Database, spec: v.spec,
-		budget: newRetryBudget(options.RetryShare, options.RetryBurst), began: time.Now(),
-		machine:   admission.New(options.Admission),
-		waiters:   make(map[admission.ID]*waiter),
+		budget:    newRetryBudget(options.RetryShare, options.RetryBurst),
 		kinds:     make(map[string]*kindStats),
 		openLanes: make(map[*lane]struct{}),
 	}
@@ -58,7 +44,7 @@
 	log := deps.Log.With("server", s.id)
 	s.pool = pool.New(options.Pool, v.spec.Addr, s.database, options.Pool.Limit(v.spec.MaxConnections), minimum, s.poolChanged, log)
 	s.status = newStatusLoop(s)
-	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.gate = gate.New(options.Admission, s.pool.SetDemand)
 	return s
 }
 
@@ -79,108 +65,41 @@
 }
 
 func (s *server) configure(v view) {
-	s.step(admission.Event{Type: admission.EventConfigure, Config: admissionConfig(v, s.options.Pool)})
-}
-
-// now returns the time on the machine's clock.
-func (s *server) now() time.Duration { return time.Since(s.began) }
-
-// step feeds an event to the machine.
-func (s *server) step(e admission.Event) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stepLocked(e)
-}
-
-func (s *server) stepLocked(e admission.Event) {
-	e.Now = s.now()
-	for _, effect := range s.machine.Step(e) {
-		s.deliver(effect)
-	}
-	s.afterStep()
-}
-
-// deliver hands an effect to the work that waits for it.
-func (s *server) deliver(effect admission.Effect) {
-	w, known := s.waiters[effect.ID]
-	if !known {
-		return
-	}
-	delete(s.waiters, effect.ID)
-	w.stats.count(effect, w.isNew)
-	w.effect <- effect
-}
-
-// afterStep tells the pool what is needed and sets the timer for deadlines.
-func (s *server) afterStep() {
-	s.pool.SetDemand(s.machine.ConnectionDemand())
-	at, waiting := s.machine.NextDeadline()
-	if !waiting || s.timerAt != 0 && s.timerAt <= at {
-		return
-	}
-	s.timerAt = at
-	s.timer.Reset(max(0, at-s.now()))
-}
-
-// tick lets waiting work expire.
-func (s *server) tick() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timerAt = 0
-	s.stepLocked(admission.Event{Type: admission.EventTick})
+	s.gate.Step(admission.Event{Type: admission.EventConfigure, Config: admissionConfig(v, s.options.Pool)})
 }
 
 // poolChanged tells the machine how many connections there are, and refuses all
 // new work while the server cannot be reached.
 func (s *server) poolChanged() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stepLocked(admission.Event{Type: admission.EventConnections, Connections: s.pool.Live()})
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	s.gate.StepLocked(admission.Event{Type: admission.EventConnections, Connections: s.pool.Live()})
 	if retry, err := s.pool.Down(); err != nil {
-		s.refuseWaiting(outcome.ReasonConnect, retry)
-	}
-}
-
-// refuseWaiting refuses all new work that waits. The caller holds mu.
-func (s *server) refuseWaiting(reason outcome.Reason, retry time.Duration) {
-	for id, w := range s.waiters {
-		if !w.isNew {
-			continue
-		}
-		s.deliver(admission.Effect{Type: admission.EffectRefuse, ID: id, Reason: reason, RetryAfter: retry})
-		s.stepLocked(admission.Event{Type: admission.EventEnd, ID: id})
+		s.gate.RefuseWaitingLocked(outcome.ReasonConnect, retry)
 	}
 }
 
 // await feeds an event that asks for a grant and waits for its effect.
 func (s *server) await(ctx context.Context, e admission.Event, id admission.ID, stats *kindStats) (admission.Effect, error) {
-	w := &waiter{effect: make(chan admission.Effect, 1), isNew: e.Type == admission.EventOffer, stats: stats}
-	s.mu.Lock()
-	if reason := s.refusalNow(w.isNew); reason != nil {
-		s.mu.Unlock()
+	isNew := e.Type == admission.EventOffer
+	s.gate.Lock()
+	if reason := s.refusalNow(isNew); reason != nil {
+		s.gate.Unlock()
 		return admission.Effect{}, reason
 	}
-	s.waiters[id] = w
-	if w.isNew {
+	if isNew {
 		stats.offered++
 	}
-	s.stepLocked(e)
-	s.mu.Unlock()
-	select {
-	case effect := <-w.effect:
-		return effect, refusalError(effect)
-	default:
-	}
-	select {
-	case effect := <-w.effect:
-		return effect, refusalError(effect)
-	case <-ctx.Done():
-		s.withdraw(id)
-		return admission.Effect{}, &outcome.NotRunError{Reason: outcome.ReasonCancelled, Detail: "the caller left the queue", Cause: ctx.Err()}
+	w := s.gate.QueueLocked(e, id, func(effect admission.Effect) { stats.count(effect, isNew) })
+	s.gate.Unlock()
+	effect, err := s.gate.Receive(ctx, w)
+	if err != nil {
+		return effect, &outcome.NotRunError{Reason: outcome.ReasonCancelled, Detail: "the caller left the queue", Cause: err}
 	}
+	return effect, refusalError(effect)
 }
 
-// refusalNow returns why no new work is taken at all. The caller holds mu.
+// refusalNow returns why no new work is taken at all. The caller holds the gate's mutex.
 func (s *server) refusalNow(isNew bool) error {
 	if !isNew {
 		return nil
@@ -194,14 +113,6 @@
 	return nil
 }
 
-// withdraw ends work that its caller left while it waited, or just after.
-func (s *server) withdraw(id admission.ID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiters, id)
-	s.stepLocked(admission.Event{Type: admission.EventEnd, ID: id})
-}
-
 func refusalError(effect admission.Effect) error {
 	if effect.Type == admission.EffectGrant {
 		return nil
@@ -214,10 +125,10 @@
 
 // drain refuses new work and lets open transactions end until ctx ends.
 func (s *server) drain(ctx context.Context, reason outcome.Reason) {
-	s.mu.Lock()
+	s.gate.Lock()
 	s.refuse = reason
-	s.refuseWaiting(reason, 0)
-	s.mu.Unlock()
+	s.gate.RefuseWaitingLocked(reason, 0)
+	s.gate.Unlock()
 	s.pool.Drain()
 	ended := make(chan struct{})
 	go func() {
@@ -232,9 +143,7 @@
 	}
 	s.status.stop()
 	s.pool.Close()
-	s.mu.Lock()
-	s.timer.Stop()
-	s.mu.Unlock()
+	s.gate.Stop()
 }
 
 // waitClosed waits for lanes that were closed. One whose caller takes no answer
@@ -251,12 +160,12 @@
 
 // closeLanes ends every open transaction.
 func (s *server) closeLanes() {
-	s.mu.Lock()
+	s.gate.Lock()
 	lanes := make([]*lane, 0, len(s.openLanes))
 	for l := range s.openLanes {
 		lanes = append(lanes, l)
 	}
-	s.mu.Unlock()
+	s.gate.Unlock()
 	for _, l := range lanes {
 		l.Close()
 	}
--- a/internal/home/stats.go
+++ b/internal/home/stats.go
@@ -18,7 +18,7 @@
 	histogramDigits = 2
 )
 
-// kindStats counts one kind's work at one server. It is guarded by server.mu.
+// kindStats counts one kind's work at one server. It is guarded by the gate's mutex.
 type kindStats struct {
 	offered  uint64
 	admitted uint64
@@ -98,11 +98,11 @@
 }
 
 func (s *server) dump() ServerDump {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.gate.Lock()
+	defer s.gate.Unlock()
 	d := ServerDump{
 		Server: s.id, Database: s.database, Draining: s.refuse != "",
-		Status: s.status.last(), Admission: s.machine.Status(), Pool: s.pool.Stats(), Live: s.pool.Live(),
+		Status: s.status.last(), Admission: s.gate.MachineLocked().Status(), Pool: s.pool.Stats(), Live: s.pool.Live(),
 	}
 	for kind, k := range s.kinds {
 		d.Kinds = append(d.Kinds, k.dump(kind))
@@ -126,7 +126,8 @@
 	}
 }
 
-// kindOf returns the counters of a kind. The caller holds mu.
+// kindOf returns the counters of a kind. The caller holds the
+// gate's mutex.
 func (s *server) kindOf(kind string) *kindStats {
 	k, known := s.kinds[kind]
 	if !known {
