Serve metrics as text: statements, homes, promotion steps, platform calls

Cause: the metrics of the platform's path were expvar JSON with percentiles computed in the process, which collectors do not read and cannot add up over VMs; waits, slots, promotion steps, calls to the platform and dropped lines were missing.

Change: /metrics on the status address, by the usual client library. Labels have few values. The expvar counters of peers and control are shown there too. A test compares the operators' table with what VMs serve after a promotion, both ways. The status server no longer logs its closed listener as a failure.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -14,6 +14,7 @@
 	"egretroad/internal/catalogue"
 	"egretroad/internal/clock"
 	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
 	"egretroad/internal/outcome"
 	"egretroad/internal/standin/linegroup"
 	"egretroad/internal/statement"
@@ -43,7 +44,7 @@
 		h.servers = append(h.servers, topology.Server{ID: id, Addr: group.Server(id).Addr(), State: topology.ServerActive, Slots: 2, DataCentre: "a"})
 	}
 	h.pub = topology.NewPublisher(h.snapshot("s1"))
-	h.m = broker.New(broker.DefaultOptions(), h.pub, platform.NewConnector(platform.Settings{VM: "vm", Address: "127.0.0.1"}), eventlog.Discard())
+	h.m = broker.New(broker.DefaultOptions(), h.pub, platform.NewConnector(platform.Settings{VM: "vm", Address: "127.0.0.1"}), eventlog.Discard(), metrics.NewRegistry())
 	h.m.Start()
 	t.Cleanup(h.m.Stop)
 	return h
--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -108,6 +108,7 @@
 	conn, err := c.s.connector.Connect(ctx, c.s.database, c.s.spec)
 	cancel()
 	c.s.note(asked, err)
+	c.s.meters.connected(err)
 	c.mu.Lock()
 	c.opening--
 	if err != nil {
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -67,6 +67,7 @@
 	default:
 		result = s.open(ctx, r)
 	}
+	s.meters.observe(result)
 	if result.Outcome != Ran || !result.Reply.OK() {
 		s.logFailed(r, result)
 	}
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -9,6 +9,7 @@
 
 	"egretroad/internal/admission"
 	"egretroad/internal/clock"
+	"egretroad/internal/metrics"
 	"egretroad/internal/outcome"
 	"egretroad/internal/topology"
 )
@@ -73,6 +74,7 @@
 	source    topology.Source
 	connector Connector
 	log       hclog.Logger
+	meters    *meters
 	ctx       context.Context
 	cancel    context.CancelFunc
 
@@ -83,12 +85,14 @@
 var _ Broker = (*Manager)(nil)
 
 // New returns a manager that is not started yet.
-func New(o Options, source topology.Source, connector Connector, log hclog.Logger) *Manager {
+func New(o Options, source topology.Source, connector Connector, log hclog.Logger, registry *metrics.Registry) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{
-		options: o, source: source, connector: connector, log: log,
+	m := &Manager{
+		options: o, source: source, connector: connector, log: log, meters: newMeters(registry),
 		ctx: ctx, cancel: cancel, servers: map[string]*server{},
 	}
+	registry.Collect(&collector{m: m})
+	return m
 }
 
 // Start follows the snapshots in force until Stop.
@@ -159,7 +163,7 @@
 		old.close()
 	}
 	v := newView(m.options, snapshot, g, spec)
-	s := newServer(m.ctx, m.options, m.connector, m.log, v)
+	s := newServer(m.ctx, m.options, m.connector, m.log, m.meters, v)
 	m.servers[spec.ID] = s
 	m.log.Info("server_taken", "server", spec.ID, "born", spec.Born, "addr", spec.Addr, "home", v.home, "revision", snapshot.Revision)
 	return s
--- /dev/null
+++ b/internal/broker/meters.go
@@ -0,0 +1,101 @@
+package broker
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"egretroad/internal/clock"
+	"egretroad/internal/metrics"
+	"egretroad/internal/statement"
+)
+
+// meters count what homes do.
+type meters struct {
+	results    *prometheus.CounterVec
+	waited     *prometheus.HistogramVec
+	ran        *prometheus.HistogramVec
+	connects   *prometheus.CounterVec
+	writtenOff *prometheus.CounterVec
+}
+
+func newMeters(m *metrics.Registry) *meters {
+	return &meters{
+		results:    m.Counter("home_statements_total", "Statements at the servers that this VM serves.", "outcome", "code", "reason"),
+		waited:     m.Latency("home_queue_seconds", "Time of a statement in a server's queue."),
+		ran:        m.Latency("home_run_seconds", "Time from sending a statement to its server to the answer."),
+		connects:   m.Counter("server_connects_total", "Connections opened to servers, by the servers' answer.", "result"),
+		writtenOff: m.Counter("slots_written_off_total", "Slots given to others as an answer was overdue."),
+	}
+}
+
+// observe counts a statement's end.
+func (m *meters) observe(r Result) {
+	m.results.WithLabelValues(r.Outcome.String(), max(r.Code, r.Reply.Code).String(), string(r.Reason)).Inc()
+	m.waited.WithLabelValues().Observe(r.Waited.Seconds())
+	if r.Ran > 0 {
+		m.ran.WithLabelValues().Observe(r.Ran.Seconds())
+	}
+}
+
+// connected counts an attempt to connect.
+func (m *meters) connected(err error) {
+	switch code := connectCode(err); {
+	case err == nil:
+		m.connects.WithLabelValues("ok").Inc()
+	case code != statement.None:
+		m.connects.WithLabelValues(code.String()).Inc()
+	default:
+		m.connects.WithLabelValues("no_answer").Inc()
+	}
+}
+
+// Gauges of the servers that a VM serves.
+var (
+	descWaiting      = metrics.Desc("home_waiting", "Statements and transactions that wait for a slot.", "server")
+	descSlots        = metrics.Desc("home_slots_used", "Slots in use.", "server")
+	descConnections  = metrics.Desc("home_connections", "Connections open for work.", "server")
+	descTransactions = metrics.Desc("home_transactions", "Open transactions.", "server")
+	descSilence      = metrics.Desc("server_silence_seconds", "Time since the first question that the server left open; 0: it answers.", "server")
+	descProofAge     = metrics.Desc("server_proof_age_seconds", "Age of the last proof that the server leads.", "server")
+)
+
+// collector reads the gauges. A server that is no longer served has none.
+type collector struct{ m *Manager }
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descWaiting, descSlots, descConnections, descTransactions, descSilence, descProofAge} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	c.m.mu.Lock()
+	servers := make([]*server, 0, len(c.m.servers))
+	for _, s := range c.m.servers {
+		servers = append(servers, s)
+	}
+	c.m.mu.Unlock()
+	for _, s := range servers {
+		s.collect(out)
+	}
+}
+
+func (s *server) collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, value float64) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, s.spec.ID)
+	}
+	now := clock.Boottime()
+	silence, _ := s.health.silence(now)
+	gauge(descSilence, silence.Seconds())
+	if proof, known := s.health.proven(now); known {
+		gauge(descProofAge, proof.Age.Seconds())
+	}
+	s.gate.Lock()
+	status, transactions := s.gate.MachineLocked().Status(), len(s.lanes)
+	s.gate.Unlock()
+	gauge(descWaiting, float64(status.Waiting))
+	gauge(descSlots, float64(status.UsedSlots))
+	gauge(descConnections, float64(status.Connections))
+	gauge(descTransactions, float64(transactions))
+}
--- a/internal/broker/overdue.go
+++ b/internal/broker/overdue.go
@@ -59,6 +59,7 @@
 		w.timer.Reset(w.after)
 	default:
 		w.s.log.Info("slot_written_off", "id", w.statement, "after", w.after)
+		w.s.meters.writtenOff.WithLabelValues().Inc()
 		w.s.gate.Step(admission.Event{Type: admission.EventWriteOff, ID: w.id})
 	}
 }
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -21,6 +21,7 @@
 	options   Options
 	connector Connector
 	log       hclog.Logger
+	meters    *meters
 	database  string
 	spec      topology.Server // as taken; ID, Addr and Born do not change
 	view      atomic.Pointer[view]
@@ -38,10 +39,10 @@
 	running  int           // statements sent and not answered
 }
 
-func newServer(ctx context.Context, o Options, c Connector, log hclog.Logger, v view) *server {
+func newServer(ctx context.Context, o Options, c Connector, log hclog.Logger, meters *meters, v view) *server {
 	s := &server{
 		options: o, connector: c, log: log.With("server", v.spec.ID), database: v.database, spec: v.spec,
-		lanes: map[LaneID]*lane{}, lastWork: clock.Boottime(),
+		meters: meters, lanes: map[LaneID]*lane{}, lastWork: clock.Boottime(),
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.admin = newAdmin(s)
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
 	"egretroad/internal/node"
 	"egretroad/platform"
 )
@@ -37,7 +38,9 @@
 	out := eventlog.NewAsync(e.out)
 	defer out.Close()
 	log := eventlog.New(out, hclog.Info, "vm", settings.VM)
-	n, err := node.New(settings.NodeSettings(), platform.NewAdapters(settings, log), log)
+	m := metrics.NewRegistry()
+	m.Gauge("log_lines_dropped", "Log lines that a slow reader of standard output did not take.", func() float64 { return float64(out.DroppedInAll()) })
+	n, err := node.New(settings.NodeSettings(), platform.NewAdapters(settings, m, log), m, log)
 	if err != nil {
 		return err
 	}
--- a/internal/eventlog/async.go
+++ b/internal/eventlog/async.go
@@ -18,7 +18,8 @@
 type Async struct {
 	w       io.Writer
 	lines   chan []byte
-	dropped atomic.Uint64
+	dropped atomic.Uint64 // since the last line that told
+	all     atomic.Uint64 // dropped, told or not
 	done    sync.WaitGroup
 }
 
@@ -36,6 +37,7 @@
 	case a.lines <- append([]byte(nil), line...):
 	default:
 		a.dropped.Add(1)
+		a.all.Add(1)
 	}
 	return len(line), nil
 }
@@ -43,6 +45,9 @@
 // Dropped returns the number of lines dropped so far and not yet told.
 func (a *Async) Dropped() uint64 { return a.dropped.Load() }
 
+// DroppedInAll returns the number of lines dropped since the start.
+func (a *Async) DroppedInAll() uint64 { return a.all.Load() }
+
 // run writes the lines that wait, many in one write.
 func (a *Async) run() {
 	defer a.done.Done()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,24 +1,29 @@
-// Package metrics groups expvar variables by process instance, so that several
-// proxies can run in one process without sharing names.
+// Package metrics groups metrics by process instance, so that several proxies can
+// run in one process without sharing names. They are served as expvar variables and
+// in the text format of the usual collectors.
 package metrics
 
 import (
 	"expvar"
 	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Registry holds the expvar variables of one proxy.
+// Registry holds the metrics of one proxy.
 type Registry struct {
 	root *expvar.Map
+	text *prometheus.Registry
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{root: new(expvar.Map).Init()} }
+func NewRegistry() *Registry { return &Registry{root: new(expvar.Map).Init(), text: newText()} }
 
 // Int returns a new counter under group and name.
 func (r *Registry) Int(group, name string) *expvar.Int {
 	v := new(expvar.Int)
 	r.Set(group, name, v)
+	r.exportInt(group, name, v)
 	return v
 }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
 	"egretroad/internal/node"
 	"egretroad/internal/standin/linegroup"
 	"egretroad/internal/standin/metastore"
@@ -36,6 +37,7 @@
 // vm is one running node.
 type vm struct {
 	settings platform.Settings
+	metrics  *metrics.Registry
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -135,10 +137,11 @@
 func (f *fleet) run(s platform.Settings) *vm {
 	lines := &logLines{}
 	log := eventlog.New(lines, hclog.Info, "vm", s.VM)
-	n, err := node.New(s.NodeSettings(), platform.NewAdapters(s, log), log)
+	m := metrics.NewRegistry()
+	n, err := node.New(s.NodeSettings(), platform.NewAdapters(s, m, log), m, log)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &vm{settings: s, stop: cancel, done: make(chan error, 1)}
+	v := &vm{settings: s, metrics: m, stop: cancel, done: make(chan error, 1)}
 	go func() { v.done <- n.Run(ctx) }()
 	f.t.Cleanup(func() {
 		cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 const memoryShare = 0.6
 
 // New builds a process and opens its listeners.
-func New(s Settings, a Adapters, log hclog.Logger) (*Node, error) {
+func New(s Settings, a Adapters, m *metrics.Registry, log hclog.Logger) (*Node, error) {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	}
@@ -107,9 +107,9 @@
 	n.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.Grace),
-		fx.Supply(s, a, incarnation(time.Now().UnixMilli())),
+		fx.Supply(s, a, m, incarnation(time.Now().UnixMilli())),
 		fx.Provide(func() hclog.Logger { return log }),
-		fx.Provide(metrics.NewRegistry, newListeners, newPublisher, newPeers, newHomes, newFleet, newPromotion, newControl, newSessions, newStatus),
+		fx.Provide(newListeners, newPublisher, newPeers, newHomes, newFleet, newPromotion, newControl, newSessions, newStatus),
 		fx.Populate(&n.parts),
 		fx.Invoke(n.registerLifecycle),
 	)
@@ -290,26 +290,28 @@
 	}
 }
 
-func newPublisher(s Settings) *topology.Publisher {
-	return topology.NewPublisher(&topology.Snapshot{Self: s.Self.ID})
+func newPublisher(s Settings, m *metrics.Registry) *topology.Publisher {
+	p := topology.NewPublisher(&topology.Snapshot{Self: s.Self.ID})
+	m.Gauge("configuration_revision", "Store revision of the configuration in force.", func() float64 { return float64(p.Snapshot().Revision) })
+	return p
 }
 
 func newPeers(s Settings, p *topology.Publisher, log hclog.Logger, m *metrics.Registry) *peer.Node {
 	return peer.NewNode(peer.DefaultOptions(s.Self.ID, s.BindIP, s.FleetKey), p, log.Named("peer"), m)
 }
 
-func newHomes(p *topology.Publisher, a Adapters, log hclog.Logger) *broker.Manager {
-	return broker.New(broker.DefaultOptions(), p, a.Connector, log.Named("home"))
+func newHomes(p *topology.Publisher, a Adapters, log hclog.Logger, m *metrics.Registry) *broker.Manager {
+	return broker.New(broker.DefaultOptions(), p, a.Connector, log.Named("home"), m)
 }
 
 func newFleet(h *broker.Manager, p *topology.Publisher, n *peer.Node) *broker.Fleet {
 	return broker.NewFleet(h, p, n)
 }
 
-func newPromotion(s Settings, a Adapters, start incarnation, h *broker.Manager, f *broker.Fleet, n *peer.Node, log hclog.Logger) *promote.Executor {
+func newPromotion(s Settings, a Adapters, start incarnation, h *broker.Manager, f *broker.Fleet, n *peer.Node, log hclog.Logger, m *metrics.Registry) *promote.Executor {
 	return promote.New(promote.Deps{
 		Self: s.Self.ID, Start: uint64(start), Store: a.Store, Peers: n, Local: h, Fleet: f, Promoter: a.Promoter,
-		Log: log.Named("promotion"),
+		Log: log.Named("promotion"), Metrics: m,
 	})
 }
 
@@ -358,7 +360,7 @@
 }
 
 func newStatus(s Settings, m *metrics.Registry, c *control.Control, e *session.Engine, h *broker.Manager, log hclog.Logger) *operator.Server {
-	o := operator.New(m, log.Named("status"))
+	o := operator.New(m, m.Text(), log.Named("status"))
 	o.AddSection("vm", func() any { return s.Self })
 	o.AddSection("control", c.Dump)
 	o.AddSection("sessions", e.Dump)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 // Paths of the operator address.
 const (
 	PathMetrics = "/debug/vars" // expvar variables as JSON
+	PathText    = "/metrics"    // metrics in the collectors' text format
 	PathDump    = "/dump"       // state of every component as JSON
 	PathReady   = "/ready"      // 200 once the proxy serves callers, else 503
 
@@ -37,11 +38,12 @@
 	ready   func() bool
 }
 
-// New returns a server that serves metrics at PathMetrics.
-func New(metrics http.Handler, log hclog.Logger) *Server {
+// New returns a server that serves metrics at PathMetrics and, as text, at PathText.
+func New(metrics, text http.Handler, log hclog.Logger) *Server {
 	s := &Server{log: log, section: map[string]func() any{}, ready: func() bool { return false }}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+PathMetrics, metrics)
+	mux.Handle("GET "+PathText, text)
 	mux.HandleFunc("GET "+PathDump, s.serveDump)
 	mux.HandleFunc("GET "+PathReady, s.serveReady)
 	mux.HandleFunc("GET "+PathProfiles, pprof.Index)
@@ -68,7 +70,7 @@
 // Start serves on listener until Stop.
 func (s *Server) Start(listener net.Listener) {
 	go func() {
-		if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("operator_server_failed", "error", err)
 		}
 	}()
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"egretroad/internal/broker"
 	"egretroad/internal/clock"
 	"egretroad/internal/control"
+	"egretroad/internal/metrics"
 	"egretroad/internal/peer"
 	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
@@ -54,12 +56,14 @@
 	Fleet    broker.Broker
 	Promoter promotion.Promoter // nil: this deployment lets nobody promote
 	Log      hclog.Logger
+	Metrics  *metrics.Registry
 }
 
 // Executor carries the effects of the promotion machine out.
 type Executor struct {
-	deps Deps
-	post func(reducer.Event)
+	deps  Deps
+	steps *prometheus.HistogramVec
+	post  func(reducer.Event)
 
 	mu     sync.Mutex // guards claims
 	claims map[string]claim
@@ -74,7 +78,10 @@
 
 // New registers the peer methods. Bind must be called before the first effect.
 func New(d Deps) *Executor {
-	x := &Executor{deps: d, claims: map[string]claim{}}
+	x := &Executor{
+		deps: d, claims: map[string]claim{},
+		steps: d.Metrics.Latency("promotion_step_seconds", "Time of each step towards a promotion, as this VM took it.", "step"),
+	}
 	d.Peers.Handle(method.Reach, x.serveReach)
 	return x
 }
@@ -86,17 +93,17 @@
 func (x *Executor) Execute(ctx context.Context, effect reducer.Effect, _ func(reducer.Event)) bool {
 	switch e := effect.(type) {
 	case promotion.Probe:
-		x.run(func() reducer.Event { return x.probe(ctx, e) })
+		x.run("probe", func() reducer.Event { return x.probe(ctx, e) })
 	case promotion.AskWitnesses:
-		x.run(func() reducer.Event { return x.ask(ctx, e) })
+		x.run("ask_witnesses", func() reducer.Event { return x.ask(ctx, e) })
 	case promotion.Elect:
-		x.run(func() reducer.Event { return x.elect(ctx, e) })
+		x.run("elect", func() reducer.Event { return x.elect(ctx, e) })
 	case promotion.Claim:
-		x.run(func() reducer.Event { return x.claim(ctx, e) })
+		x.run("claim", func() reducer.Event { return x.claim(ctx, e) })
 	case promotion.Promote:
-		x.run(func() reducer.Event { return x.promote(ctx, e) })
+		x.run("promote", func() reducer.Event { return x.promote(ctx, e) })
 	case promotion.Announce:
-		x.run(func() reducer.Event { return control.LeadFound{Database: e.Database, Server: e.Server} })
+		x.run("announce", func() reducer.Event { return control.LeadFound{Database: e.Database, Server: e.Server} })
 	case promotion.Log:
 		x.deps.Log.Info(e.Event, e.Fields...)
 	default:
@@ -105,8 +112,13 @@
 	return true
 }
 
-func (x *Executor) run(call func() reducer.Event) {
-	go func() { x.post(call()) }()
+func (x *Executor) run(step string, call func() reducer.Event) {
+	go func() {
+		began := clock.Boottime()
+		event := call()
+		x.steps.WithLabelValues(step).Observe((clock.Boottime() - began).Seconds())
+		x.post(event)
+	}()
 }
 
 // probe asks a primary for an answer unless it has answered of late.
--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
 	"egretroad/internal/peer"
 	"egretroad/internal/promotion"
 	"egretroad/internal/promotion/run"
@@ -41,7 +42,7 @@
 	s := platform.Settings{VM: name, Address: "127.0.0.1", StoreAddress: store.Addr(), PromoteAddress: store.Addr()}
 	v := &vm{results: make(chan reducer.Event, 1), x: run.New(run.Deps{
 		Self: name, Start: 1, Store: platform.NewStore(s, eventlog.Discard()), Peers: registrar{},
-		Promoter: platform.NewPromoter(s), Log: eventlog.Discard(),
+		Promoter: platform.NewPromoter(s), Log: eventlog.Discard(), Metrics: metrics.NewRegistry(),
 	})}
 	v.x.Bind(func(e reducer.Event) { v.results <- e })
 	return v
--- a/internal/proxy/components.go
+++ b/internal/proxy/components.go
@@ -152,7 +152,7 @@
 }
 
 func newOperator(s config.Settings, m *metrics.Registry, c *control.Control, l *leases, h *home.Manager, g *gateway.Gateway, log hclog.Logger) *operator.Server {
-	o := operator.New(m, log.Named("operator"))
+	o := operator.New(m, m.Text(), log.Named("operator"))
 	o.AddSection("vm", func() any { return s.VM })
 	o.AddSection("control", c.Dump)
 	o.AddSection("authority", func() (state any) {
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -88,7 +88,8 @@
 		sessions:     map[*session]struct{}{},
 	}
 	e.marks = newSamples(e)
-	e.counts.register(d.Metrics)
+	e.counts = newCounts(d.Metrics)
+	d.Metrics.Gauge("sessions", "Callers' sessions.", func() float64 { return float64(e.Sessions()) })
 	return e
 }
 
--- a/internal/session/report.go
+++ b/internal/session/report.go
@@ -1,98 +1,59 @@
 package session
 
 import (
-	"expvar"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"egretroad/internal/broker"
+	"egretroad/internal/catalogue"
 	"egretroad/internal/clock"
 	"egretroad/internal/metrics"
 	"egretroad/internal/outcome"
 	"egretroad/internal/statement"
 )
 
-// counts are the counters of answers by code, and the latencies by entry.
+// counts are the metrics of callers' statements. Their labels have few values:
+// freshness, codes and reasons, not routes or servers.
 type counts struct {
-	mu      sync.Mutex // guards the fields below
-	codes   map[statement.Code]uint64
-	latency map[string]*hdrhistogram.Histogram // of statements, by catalogue entry
-	unsaid  uint64                             // successes without a log line
+	statements  *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	queued      *prometheus.HistogramVec
+	positionAge *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	leftOut     *prometheus.CounterVec
 }
 
-// leftOut counts a success without a log line.
-func (c *counts) leftOut() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unsaid++
-}
-
-// Bounds of the latency histograms.
-const (
-	maxLatencyUS   = int64(60_000_000)
-	latencyDigits  = 2
-	maxLatencyKeys = 64 // entries with a histogram of their own; the others share one
-	otherEntries   = "other"
-)
+// freshnessNone labels statements that reached no route.
+const freshnessNone = "none"
 
-// observe records a statement's latency.
-func (c *counts) observe(entry string, took time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	h := c.latency[entry]
-	if h == nil {
-		if len(c.latency) >= maxLatencyKeys {
-			entry = otherEntries
-		}
-		if h = c.latency[entry]; h == nil {
-			h = hdrhistogram.New(1, maxLatencyUS, latencyDigits)
-			c.latency[entry] = h
-		}
+func newCounts(m *metrics.Registry) counts {
+	return counts{
+		statements:  m.Counter("statements_total", "Answers to callers' statements.", "freshness", "code", "reason"),
+		latency:     m.Latency("statement_seconds", "Time from a statement's arrival to its answer.", "freshness", "code"),
+		queued:      m.Latency("statement_queue_seconds", "Time of a statement in the queues of homes, all attempts together.", "freshness"),
+		positionAge: m.Latency("read_position_age_seconds", "Age of the proven position that a read asked its server for."),
+		attempts:    m.Counter("attempts_failed_total", "Attempts at a server that led to another one or to a refusal.", "reason"),
+		leftOut:     m.Counter("successes_not_logged_total", "Successes without a log line."),
 	}
-	_ = h.RecordValue(min(max(took.Microseconds(), 1), maxLatencyUS)) // within the bounds
 }
 
-// latencies returns the histograms' figures in microseconds.
-func (c *counts) latencies() any {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]map[string]int64, len(c.latency))
-	for entry, h := range c.latency {
-		out[entry] = map[string]int64{
-			"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
-			"p99": h.ValueAtQuantile(99), "max": h.Max(),
-		}
-	}
-	return out
-}
-
-func (c *counts) register(m *metrics.Registry) {
-	c.codes, c.latency = map[statement.Code]uint64{}, map[string]*hdrhistogram.Histogram{}
-	m.Set("sessions", "successes_not_logged", expvar.Func(func() any {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.unsaid
-	}))
-	m.Set("sessions", "latency_us", expvar.Func(c.latencies))
-	m.Set("sessions", "answers", expvar.Func(func() any {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		out := make(map[string]uint64, len(c.codes))
-		for code, n := range c.codes {
-			out[code.String()] = n
-		}
-		return out
-	}))
+// count counts an answer to a statement without a route.
+func (e *Engine) count(code statement.Code) {
+	e.counts.statements.WithLabelValues(freshnessNone, code.String(), "").Inc()
 }
 
-// count counts an answer.
-func (e *Engine) count(code statement.Code) {
-	e.counts.mu.Lock()
-	defer e.counts.mu.Unlock()
-	e.counts.codes[code]++
+// observe counts a statement's answer.
+func (w *work) observe(result broker.Result, reply statement.Reply, took time.Duration) {
+	freshness := w.entry.Freshness
+	if freshness == "" {
+		freshness = catalogue.FreshOwn
+	}
+	c := &w.s.e.counts
+	c.statements.WithLabelValues(string(freshness), reply.Code.String(), string(result.Reason)).Inc()
+	c.latency.WithLabelValues(string(freshness), reply.Code.String()).Observe(took.Seconds())
+	c.queued.WithLabelValues(string(freshness)).Observe(w.queued.Seconds())
 }
 
 // name names the session for the queue's fairness and the log.
@@ -103,10 +64,9 @@
 func (w *work) log(result broker.Result, reply statement.Reply) {
 	e := w.s.e
 	took := clock.Boottime() - w.began
-	e.count(reply.Code)
-	e.counts.observe(w.entry.Name, took)
+	w.observe(result, reply, took)
 	if reply.OK() && !e.successLines.Allow() {
-		e.counts.leftOut()
+		e.counts.leftOut.WithLabelValues().Inc()
 		return
 	}
 	e.log.Info("statement", "id", w.st.ID, "session", w.s.id, "database", w.s.database, "group", w.entry.GroupName(),
@@ -120,6 +80,7 @@
 // logAttempt writes the line of an attempt that leads to another one, or to a
 // refusal.
 func (w *work) logAttempt(result broker.Result, reason outcome.Reason) {
+	w.s.e.counts.attempts.WithLabelValues(string(reason)).Inc()
 	w.s.e.log.Info("attempt_failed", "id", w.st.ID, "session", w.s.id, "server", w.server, "via", result.Via,
 		"attempt", w.attempts, "outcome", result.Outcome, "reason", reason, "code", result.Code,
 		"waited", result.Waited.Round(time.Microsecond), "ran", result.Ran.Round(time.Microsecond), "detail", result.Detail)
--- a/internal/session/samples.go
+++ b/internal/session/samples.go
@@ -99,7 +99,9 @@
 	}
 	t.mu.Unlock()
 	if found {
-		if clock.Boottime()-newest > maxAge/refreshShare {
+		now := clock.Boottime()
+		t.e.counts.positionAge.WithLabelValues().Observe((now - s.at).Seconds())
+		if now-newest > maxAge/refreshShare {
 			t.refresh(database, maxAge/refreshShare)
 		}
 		return s.mark, nil
