Explain every failure of a run with faults; name a server's own refusals

New test: requests that fail under six faults, injected into servers of the stand-in, are explained from the logs of all VMs alone, and the cause fits the fault. It found reads that ended with a replica's own refusal, explained as 'the server answered behind'; explain names the missing log position now.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"egretroad/internal/outcome"
+	"egretroad/internal/statement"
 )
 
 // maxLineBytes is the longest line that is read; longer ones end the reading.
@@ -148,6 +149,13 @@
 	outcome.ReasonUnavailable:   "the server refused the statement",
 }
 
+// serverRefusals are the reasons behind codes with which a server itself refused
+// the last attempt.
+var serverRefusals = map[string]outcome.Reason{
+	statement.Behind.String():   outcome.ReasonBehind,
+	statement.ReadOnly.String(): outcome.ReasonReplaced,
+}
+
 // Cause says in one sentence why a request ended as it did; "" when the lines do
 // not tell.
 func Cause(lines []Line) string {
@@ -161,6 +169,9 @@
 			return head + "."
 		}
 		cause := causes[outcome.Reason(f["reason"])]
+		if cause == "" {
+			cause = causes[serverRefusals[f["code"]]]
+		}
 		if cause == "" {
 			cause = "the server answered " + f["code"] + " " + f["detail"]
 		}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -40,6 +40,7 @@
 	metrics  *metrics.Registry
 	stop     context.CancelFunc
 	done     chan error
+	lines    *logLines
 }
 
 var zones = []string{"a", "b", "c"}
@@ -141,7 +142,7 @@
 	n, err := node.New(s.NodeSettings(), platform.NewAdapters(s, m, log), m, log)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &vm{settings: s, metrics: m, stop: cancel, done: make(chan error, 1)}
+	v := &vm{settings: s, metrics: m, lines: lines, stop: cancel, done: make(chan error, 1)}
 	go func() { v.done <- n.Run(ctx) }()
 	f.t.Cleanup(func() {
 		cancel()
@@ -164,6 +165,12 @@
 	return len(line), nil
 }
 
+func (l *logLines) copy() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]byte(nil), l.lines...)
+}
+
 func (l *logLines) print(t *testing.T) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
