Wait for a replica that ended with its primary where commits wait for one

Cause, found by reading: the number of replicas that must answer before a promotion counted registered replicas only. If a primary and a replica stop together, the replica's registration ends seconds later, and the other replica alone would be promoted, though a commit may be only on the two that stopped.

Change: the machine notes when a replica's registration ends. One that ended after the primary fell silent still counts for 30 s, in which a server that restarts is back; one that ended before, or left in order, does not. The new trace failed before.

--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -44,12 +44,13 @@
 	now      time.Duration
 	snapshot *topology.Snapshot
 	groups   map[string]*group
+	ended    map[string]map[string]time.Duration // by database and replica: when its registration ended
 	effects  []reducer.Effect
 }
 
 // New returns a machine of a VM.
 func New(o Options, self string) *Machine {
-	return &Machine{options: o, self: self, groups: map[string]*group{}}
+	return &Machine{options: o, self: self, groups: map[string]*group{}, ended: map[string]map[string]time.Duration{}}
 }
 
 // Step implements reducer.Machine.
@@ -60,6 +61,7 @@
 		m.now = e.Now
 		m.watchAll()
 	case reducer.SnapshotPublished:
+		m.noteEnded(m.snapshot, e.Snapshot)
 		m.snapshot = e.Snapshot
 		m.watchAll()
 	case Probed:
@@ -250,6 +252,7 @@
 			e.Reserve = append(e.Reserve, server.ID)
 		}
 	}
+	replicas += m.missing(g, s)
 	if synchronous > 0 {
 		e.Required = max(replicas-synchronous+1, 1)
 	}
@@ -265,6 +268,57 @@
 	m.emit(e)
 }
 
+// noteEnded notes the replicas whose registration ended, by two snapshots that
+// follow each other. Servers that left in order are not waited for.
+func (m *Machine) noteEnded(old, next *topology.Snapshot) {
+	if old == nil {
+		return
+	}
+	for database, g := range next.Groups {
+		was := old.Groups[database]
+		if was == g || was == nil {
+			continue
+		}
+		if m.ended[database] == nil {
+			m.ended[database] = map[string]time.Duration{}
+		}
+		for _, server := range was.Servers {
+			if server.ID != was.Primary && server.State != topology.ServerLeaving {
+				m.ended[database][server.ID] = m.now
+			}
+		}
+		for _, server := range g.Servers {
+			delete(m.ended[database], server.ID)
+		}
+	}
+	for database, ended := range m.ended {
+		for id, at := range ended {
+			if m.now-at > m.options.ReturnLimit {
+				delete(ended, id)
+			}
+		}
+		if len(ended) == 0 || next.Groups[database] == nil {
+			delete(m.ended, database)
+		}
+	}
+}
+
+// missing returns the number of replicas whose registration ended after the group
+// lost its primary: they served until then, and commits may have waited for them.
+func (m *Machine) missing(g *topology.Group, s *group) int {
+	lost := m.now - s.silence
+	if s.absent != 0 {
+		lost = s.absent
+	}
+	n := 0
+	for _, at := range m.ended[g.Database] {
+		if at >= lost && m.now-at <= m.options.ReturnLimit {
+			n++
+		}
+	}
+	return n
+}
+
 // syncReplicas returns the number of replicas that have a commit of a group before
 // it is acknowledged.
 func (m *Machine) syncReplicas(database string) int {
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -216,6 +216,50 @@
 	g.Expect(tr.take()).To(ContainElement(BeAssignableToTypeOf(Elect{})), "it is tried again")
 }
 
+// A primary and a replica stop together. Once the replica's registration ends, the
+// other replica is the only one in sight, but it may lack a commit that only the two
+// had: the replica is waited for, within bounds.
+func TestAReplicaThatEndedWithItsPrimaryIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	lost := func() *trace {
+		tr := newTrace()
+		tr.synchronous()
+		tr.tick(time.Second)
+		tr.silent(5 * time.Second)
+		tr.group(func(grp *topology.Group) { grp.Servers = grp.Servers[:2] })
+		return tr
+	}
+	elections := func(tr *trace) []reducer.Effect {
+		tr.post(WitnessesAsked{Database: "orders", Server: "s1", Answered: 2})
+		tr.tick(DefaultOptions().Retry)
+		tr.post(WitnessesAsked{Database: "orders", Server: "s1", Answered: 2})
+		var all []reducer.Effect
+		for _, e := range tr.take() {
+			if _, elect := e.(Elect); elect {
+				all = append(all, e)
+			}
+		}
+		return all
+	}
+	tr := lost()
+	g.Expect(elections(tr)).To(BeEmpty())
+	tr.group(func(grp *topology.Group) { grp.Servers = append(grp.Servers, server("s3", topology.ServerActive)) })
+	g.Expect(elections(tr)).To(ContainElement(Elect{Database: "orders", Candidates: []string{"s2", "s3"}, Required: 2}))
+	tr = lost()
+	tr.tick(DefaultOptions().ReturnLimit)
+	tr.silent(time.Minute)
+	tr.tick(time.Second)
+	g.Expect(elections(tr)).To(ContainElement(Elect{Database: "orders", Candidates: []string{"s2"}, Required: 1}))
+	// A replica that ended before the primary fell silent has nothing of its own.
+	tr = newTrace()
+	tr.synchronous()
+	tr.group(func(grp *topology.Group) { grp.Servers = grp.Servers[:2] })
+	tr.tick(10 * time.Second)
+	tr.silent(5 * time.Second)
+	tr.tick(time.Second)
+	g.Expect(elections(tr)).To(ContainElement(Elect{Database: "orders", Candidates: []string{"s2"}, Required: 1}))
+}
+
 func TestARefusedReplicaIsMissedWhereCommitsWaitForOne(t *testing.T) {
 	g := NewWithT(t)
 	tr := newTrace()
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -68,6 +68,10 @@
 	Retry time.Duration
 	// ClaimRetry is the pause before a claim ahead of need is tried again.
 	ClaimRetry time.Duration
+	// ReturnLimit is how long a replica is waited for whose registration ended after
+	// its primary fell silent, where commits wait for a replica: it may be the only
+	// one that has the last of them. A server that restarts is back within this time.
+	ReturnLimit time.Duration
 	// Witnesses is the number of other VMs that are asked whether they reach a
 	// silent primary.
 	Witnesses int
@@ -78,6 +82,7 @@
 	return Options{
 		ProbeInterval: 300 * time.Millisecond,
 		SilenceLimit:  900 * time.Millisecond,
+		ReturnLimit:   30 * time.Second,
 		AbsenceLimit:  800 * time.Millisecond,
 		Settle:        2500 * time.Millisecond,
 		Retry:         200 * time.Millisecond,
