Count a primary's silence while a probe is open

The silence was only known at the end of each probe, and a probe of a dead server lasts its time-out of 500 ms, with 300 ms between two.

Change: the machine keeps when the silence began. The new trace failed before (no witness was asked at the limit) and passes.

--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -26,7 +26,7 @@
 	reason    string
 	probing   bool
 	probeDue  time.Duration
-	silence   time.Duration
+	silent    time.Duration // since when the primary has not answered; 0: it answers
 	absent    time.Duration // since when the group has had no primary; 0: it has one
 	due       time.Duration // no new step before
 	settled   time.Duration // no new promotion before
@@ -143,7 +143,7 @@
 	if m.now < s.settled && (!known || primary.ID != s.target) {
 		return
 	}
-	if !s.claimed && m.now >= s.claimDue && s.silence == 0 {
+	if !s.claimed && m.now >= s.claimDue && s.silent == 0 {
 		s.phase, s.candidate = claiming, ""
 		m.emit(Claim{Database: g.Database})
 		return
@@ -153,11 +153,20 @@
 		m.elect(g, s, "no server is primary", "")
 	case known && primary.State == topology.ServerLeaving:
 		m.elect(g, s, "the primary is leaving", primary.ID)
-	case known && s.silence >= m.options.SilenceLimit:
+	case known && m.silence(s) >= m.options.SilenceLimit:
 		m.ask(g, s, primary)
 	}
 }
 
+// silence returns how long the primary has not answered. It grows while a question
+// is open: a probe of a dead server ends only with its time.
+func (m *Machine) silence(s *group) time.Duration {
+	if s.silent == 0 {
+		return 0
+	}
+	return m.now - s.silent
+}
+
 // ask lets other VMs say whether they reach a silent primary.
 func (m *Machine) ask(g *topology.Group, s *group, primary topology.Server) {
 	vms := m.witnesses(primary)
@@ -195,10 +204,13 @@
 	if s == nil {
 		return
 	}
-	s.probing, s.silence = false, e.Silence
+	s.probing, s.silent = false, 0
+	if e.Silence > 0 {
+		s.silent = m.now - e.Silence
+	}
 	s.probeDue = m.now + m.options.ProbeInterval
 	if g := m.snapshot.Groups[e.Database]; g == nil || g.Primary != e.Server {
-		s.silence = 0
+		s.silent = 0
 	}
 }
 
@@ -210,9 +222,9 @@
 		return
 	}
 	s.phase, s.due = watching, m.now+m.options.Retry
-	m.log("primary_silent", "database", e.Database, "server", e.Server, "silence", s.silence,
+	m.log("primary_silent", "database", e.Database, "server", e.Server, "silence", m.silence(s),
 		"witnesses", e.Answered, "reached_by", e.Reached)
-	if e.Answered == 0 || e.Reached > 0 || g.Primary != e.Server || s.silence == 0 {
+	if e.Answered == 0 || e.Reached > 0 || g.Primary != e.Server || s.silent == 0 {
 		return
 	}
 	m.elect(g, s, "the primary is silent", "")
@@ -264,7 +276,7 @@
 	}
 	s.phase, s.reason = electing, reason
 	m.log("promotion_began", "database", g.Database, "primary", g.Primary, "reason", reason,
-		"silence", s.silence, "candidates", e.Candidates, "required", e.Required, "revision", m.snapshot.Revision)
+		"silence", m.silence(s), "candidates", e.Candidates, "required", e.Required, "revision", m.snapshot.Revision)
 	m.emit(e)
 }
 
@@ -306,7 +318,7 @@
 // missing returns the number of replicas whose registration ended after the group
 // lost its primary: they served until then, and commits may have waited for them.
 func (m *Machine) missing(g *topology.Group, s *group) int {
-	lost := m.now - s.silence
+	lost := m.now - m.silence(s)
 	if s.absent != 0 {
 		lost = s.absent
 	}
@@ -354,7 +366,7 @@
 // recovered reports whether the reason for the promotion is gone.
 func (m *Machine) recovered(g *topology.Group, s *group) bool {
 	primary, known := g.Server(g.Primary)
-	return known && primary.State != topology.ServerLeaving && s.silence == 0
+	return known && primary.State != topology.ServerLeaving && s.silent == 0
 }
 
 func (m *Machine) claimed(e Claimed) {
@@ -401,5 +413,5 @@
 	}
 	m.emit(Announce{Database: e.Call.Database, Server: e.Call.Server})
 	clear(s.refused)
-	s.target, s.settled, s.silence, s.absent = e.Call.Server, m.now+m.options.Settle, 0, 0
+	s.target, s.settled, s.silent, s.absent = e.Call.Server, m.now+m.options.Settle, 0, 0
 }
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// A probe of a dead server ends with its time-out; the silence counts meanwhile.
+func TestSilenceGrowsWhileAProbeIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.tick(time.Second)
+	tr.take()
+	tr.silent(500 * time.Millisecond)
+	tr.tick(DefaultOptions().ProbeInterval)
+	g.Expect(tr.take()).To(Equal([]reducer.Effect{Probe{Database: "orders", Server: "s1"}}))
+	tr.tick(DefaultOptions().SilenceLimit - 500*time.Millisecond - DefaultOptions().ProbeInterval)
+	g.Expect(tr.take()).To(Equal([]reducer.Effect{AskWitnesses{Database: "orders", Server: "s1", VMs: []string{"b", "c"}}}))
+}
+
 // A VM that cannot reach the primary, while others can, must not replace it; and
 // one whom no witness answers may be cut off itself.
 func TestNothingIsDoneWithoutWitnesses(t *testing.T) {
