Bound the log lines of each event a second; level and bound are flags

Cause: in the worst seconds of an incident each VM wrote some 950 lines a second, as each attempt of a read that waits has two. Only a reader that fell behind limited them.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -8,7 +8,6 @@
 	"os"
 	"strings"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
 	"egretroad/internal/demo"
@@ -30,9 +29,9 @@
 kv(key text primary key, value text) with a fixed set of statements.`,
 		Args: exactArgs(),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			logLevel := hclog.LevelFromString(level)
-			if logLevel == hclog.NoLevel {
-				return &UsageError{Detail: fmt.Sprintf("--log-level is %q, want trace, debug, info, warn or error", level)}
+			logLevel, err := parseLevel(level)
+			if err != nil {
+				return err
 			}
 			d, err := demo.Start(cmd.Context(), demo.Options{Deployment: o, Log: eventlog.New(e.errOut, logLevel)})
 			if err != nil {
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,18 +17,55 @@
 )
 
 func newNode(e *env) *cobra.Command {
-	return &cobra.Command{
+	o := logOptions{level: hclog.Info.String(), linesPerSecond: defaultLogLines}
+	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run the proxy of this VM on the users' platform",
 		Long: `Runs the proxy of this VM with the settings file of the users' platform until a
 signal. SIGTERM drains within the platform's grace; SIGHUP reads the settings file
 again. Logs go to standard output, one event a line, and never hold work up.`,
 		Args: exactArgs(),
-		RunE: func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), e) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), e, o) },
 	}
+	cmd.Flags().StringVar(&o.level, "log-level", o.level, "least level of lines that are written: trace, debug, info, warn or error")
+	cmd.Flags().IntVar(&o.linesPerSecond, "log-lines", o.linesPerSecond, "most lines of each event a second; more are counted and left out")
+	return cmd
 }
 
-func runNode(ctx context.Context, e *env) error {
+// defaultLogLines keeps a VM below half a megabyte of lines a second when three
+// events tell of each request.
+const defaultLogLines = 500
+
+// logOptions say what is logged.
+type logOptions struct {
+	level          string
+	linesPerSecond int
+}
+
+// parseLevel returns the level that --log-level names.
+func parseLevel(name string) (hclog.Level, error) {
+	level := hclog.LevelFromString(name)
+	if level == hclog.NoLevel {
+		return level, &UsageError{Detail: fmt.Sprintf("--log-level is %q, want trace, debug, info, warn or error", name)}
+	}
+	return level, nil
+}
+
+// check returns a usage error for values out of range.
+func (o logOptions) check() error {
+	if _, err := parseLevel(o.level); err != nil {
+		return err
+	}
+	if o.linesPerSecond < 1 {
+		return &UsageError{Detail: fmt.Sprintf("--log-lines is %d, want at least 1", o.linesPerSecond)}
+	}
+	return nil
+}
+
+func runNode(ctx context.Context, e *env, o logOptions) error {
+	if err := o.check(); err != nil {
+		return err
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -37,9 +75,11 @@
 	defer signal.Stop(hup)
 	out := eventlog.NewAsync(e.out)
 	defer out.Close()
-	log := eventlog.New(out, hclog.Info, "vm", settings.VM)
+	bound := eventlog.NewBound(o.linesPerSecond)
+	log := eventlog.NewBounded(out, hclog.LevelFromString(o.level), bound, "vm", settings.VM)
 	m := metrics.NewRegistry()
 	m.Gauge("log_lines_dropped", "Log lines that a slow reader of standard output did not take.", func() float64 { return float64(out.DroppedInAll()) })
+	m.Gauge("log_lines_left_out", "Log lines beyond the bound of their event.", func() float64 { return float64(bound.LeftOut()) })
 	n, err := node.New(settings.NodeSettings(), platform.NewAdapters(settings, m, log), m, log)
 	if err != nil {
 		return err
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -16,8 +16,13 @@
 // New returns a logger that writes events of the given level and above to w.
 // The message of each call is the event's name.
 func New(w io.Writer, level hclog.Level, fields ...any) hclog.Logger {
+	return NewBounded(w, level, nil, fields...)
+}
+
+// NewBounded is New with a bound on the lines of each event; nil: none.
+func NewBounded(w io.Writer, level hclog.Level, bound *Bound, fields ...any) hclog.Logger {
 	l := hclog.NewInterceptLogger(&hclog.LoggerOptions{Output: io.Discard, Level: hclog.Off})
-	l.RegisterSink(&sink{w: w, level: level})
+	l.RegisterSink(&sink{w: w, level: level, bound: bound})
 	return l.With(fields...)
 }
 
@@ -29,6 +34,7 @@
 	mu    sync.Mutex // guards w
 	w     io.Writer
 	level hclog.Level
+	bound *Bound // may be nil
 }
 
 // Accept implements hclog.SinkAdapter.
@@ -36,6 +42,22 @@
 	if level < s.level {
 		return
 	}
+	if s.bound != nil {
+		allowed, leftOut := s.bound.allow(msg)
+		if !allowed {
+			return
+		}
+		for event, count := range leftOut {
+			s.write("", hclog.Warn, eventLeftOut, "of", event, "count", count)
+		}
+	}
+	s.write(name, level, msg, args...)
+}
+
+// eventLeftOut tells how many lines of an event were left out.
+const eventLeftOut = "log_lines_left_out"
+
+func (s *sink) write(name string, level hclog.Level, msg string, args ...any) {
 	var b strings.Builder
 	b.WriteString("time=")
 	b.WriteString(time.Now().UTC().Format("2006-01-02T15:04:05.000Z"))
--- a/internal/node/events_test.go
+++ b/internal/node/events_test.go
@@ -89,6 +89,6 @@
 
 // onTrouble are the metrics that have a value only once something rare has happened.
 var onTrouble = map[string]bool{
-	"egretroad_successes_not_logged_total": true, "egretroad_slots_written_off_total": true, "egretroad_log_lines_dropped": true,
+	"egretroad_successes_not_logged_total": true, "egretroad_slots_written_off_total": true, "egretroad_log_lines_dropped": true, "egretroad_log_lines_left_out": true,
 	"egretroad_attempts_failed_total": true,
 }
