Give servers homes once the VMs are listed

Cause: when all VMs start at the same time, each had the servers before the list of VMs, took itself for the home of all nine and opened connections to them; as the list came, the homes moved and the connections were closed, which servers still count for three seconds. The real homes then met the servers' limits.

The test replays the start of a fleet and failed before (one VM home of three servers).

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -129,6 +129,7 @@
 func (m *Machine) start() {
 	m.started = true
 	m.timers.reset(m.now)
+	m.startListWait()
 	m.sync.notice = m.now - m.opts.WaitingNotice + firstNotice
 	vm := m.cfg.Self
 	m.members.merge(Record{ID: vm.ID, Incarnation: m.self.incarnation, VM: &vm}, "this VM", m.now)
@@ -151,6 +152,7 @@
 		m.markStatusDirty()
 		m.watcherChanged()
 	}
+	m.endListWait()
 	m.announceWhenReady()
 	m.report()
 	m.publishWhenDue()
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -35,6 +35,10 @@
 	// Registrations says that servers register themselves, each as an object of
 	// its own, and that no group objects exist.
 	Registrations bool
+	// ListWait is how long a VM that starts waits for the list of VMs before it gives
+	// servers homes: before it, it would take itself for the home of all. A slow store
+	// answers within a quarter of it.
+	ListWait time.Duration
 	// RegistrationHold is how long a server whose registration ended without
 	// notice is kept: registrations lapse while the store is away and return
 	// shortly after it.
@@ -86,6 +90,7 @@
 		ReportRefresh: 10 * time.Second,
 		WaitingNotice: 10 * time.Second,
 
+		ListWait:          time.Second,
 		RegistrationHold:  2500 * time.Millisecond,
 		DataCentreSilence: 3 * time.Second,
 	}
--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -18,6 +18,8 @@
 	silent  map[string]bool          // data centres whose VMs are not counted on
 	current map[string]registered    // by server ID
 	held    map[string]heldServer
+	waits   bool          // for the list of VMs before servers get homes
+	waitEnd time.Duration // no longer than until then
 }
 
 // registered is a registration in force.
@@ -169,6 +171,25 @@
 	return m.opts.Registrations && len(m.snapshot.homes) > 0 && len(m.homesIn(server.DataCentre)) == 0
 }
 
+// startListWait holds the choice of homes back until the list of VMs is there.
+func (m *Machine) startListWait() {
+	m.servers.waits, m.servers.waitEnd = m.opts.Registrations, m.now+m.opts.ListWait
+}
+
+// endListWait lets homes be chosen once the list is there or has been waited for
+// long enough.
+func (m *Machine) endListWait() {
+	if !m.servers.waits || !m.members.listed && m.now < m.servers.waitEnd {
+		return
+	}
+	m.servers.waits = false
+	all := map[string]bool{}
+	for _, r := range m.servers.current {
+		all[r.value.Server.DataCentre] = true
+	}
+	m.snapshot.membersChanged(all)
+}
+
 // homesIn returns the VMs of a data centre that may be homes, as far as the data
 // centre is heard.
 func (m *Machine) homesIn(dc string) []string {
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -34,10 +34,18 @@
 	o.Registrations, o.WatchAllUpTo, o.NoReports = true, 32, true
 	l := &lone{m: control.New(control.Config{Options: o, Self: loneVM("a1", "a"), Incarnation: 1}), now: time.Hour}
 	l.tick(0)
+	l.listVMs()
+	l.listObjects(revision, servers...)
+	return l
+}
+
+func (l *lone) listVMs() {
 	l.post(control.VMsListed{List: platform.VMList{Revision: 1, VMs: []topology.VM{loneVM("a1", "a"), loneVM("a2", "a"), loneVM("b1", "b")}}})
+}
+
+func (l *lone) listObjects(revision uint64, servers ...platform.Object) {
 	l.post(control.ObjectsListed{Kind: platform.KindCatalogue, List: platform.ObjectList{Revision: revision}})
 	l.post(control.ObjectsListed{Kind: platform.KindServer, List: platform.ObjectList{Revision: revision, Objects: servers}})
-	return l
 }
 
 func (l *lone) post(e reducer.Event) { l.out = append(l.out, l.m.Step(e)...) }
@@ -178,13 +186,7 @@
 
 // home returns the home of server 1 as last published.
 func (l *lone) home() string {
-	home := ""
-	for _, e := range l.out {
-		if p, ok := e.(control.Publish); ok {
-			home = p.Snapshot.Homes["1"]
-		}
-	}
-	return home
+	return l.homes()["1"]
 }
 
 // VMs of a data centre that all fail at once have nobody left who would report
@@ -241,3 +243,42 @@
 	l.tick(time.Second)
 	g.Expect(l.group().Primary).To(Equal("1"))
 }
+
+// homes returns the homes as last published.
+func (l *lone) homes() map[string]string {
+	var homes map[string]string
+	for _, e := range l.out {
+		if p, ok := e.(control.Publish); ok {
+			homes = p.Snapshot.Homes
+		}
+	}
+	return homes
+}
+
+// Load pattern: every VM starts at the same time. The first to read the servers must
+// not open connections to all of them as their home, only to close them again.
+func TestServersGetHomesOnceTheVMsAreListed(t *testing.T) {
+	start := func(g *WithT) *lone {
+		o := control.DefaultOptions()
+		o.Registrations, o.WatchAllUpTo, o.NoReports = true, 32, true
+		l := &lone{m: control.New(control.Config{Options: o, Self: loneVM("a1", "a"), Incarnation: 1}), now: time.Hour}
+		l.tick(0)
+		l.listObjects(9,
+			registrationIn(g, "a", "s1", 1, topology.RolePrimary, topology.ServerActive),
+			registrationIn(g, "b", "s2", 2, topology.RoleReplica, topology.ServerActive),
+			registrationIn(g, "c", "s3", 3, topology.RoleReplica, topology.ServerActive))
+		g.Expect(l.group().Servers).To(HaveLen(3))
+		g.Expect(l.homes()).To(BeEmpty())
+		return l
+	}
+	g := NewWithT(t)
+	l := start(g)
+	l.listVMs()
+	l.tick(time.Second)
+	g.Expect(l.homes()).To(And(HaveLen(3), HaveKeyWithValue("s2", "b1")))
+	// Without an answer of the store there must be homes as well.
+	l = start(g)
+	l.tick(control.DefaultOptions().ListWait)
+	l.tick(time.Second)
+	g.Expect(l.homes()).To(Equal(map[string]string{"s1": "a1", "s2": "a1", "s3": "a1"}))
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -187,6 +187,10 @@
 }
 
 func (m *Machine) place(homes map[string]string, server topology.Server) {
+	if m.servers.waits {
+		delete(homes, server.ID)
+		return
+	}
 	vm := m.placingOf(server.DataCentre).table.Pick(server.ID)
 	if vm == "" && m.opts.Registrations {
 		vm = m.distantHome(server)
