Measure the decisions of a home by replays, beside the first version and baselines

The replay of arrivals moves from the tests to internal/admission/replay, for tests and for the new measurement 'replay': goodput by kind at 0.5 to 4 times the capacity, with a plot.

--- /dev/null
+++ b/internal/admission/replay/replay_test.go
@@ -0,0 +1,63 @@
+package replay_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"egretroad/internal/admission"
+	"egretroad/internal/admission/replay"
+	"egretroad/internal/catalogue"
+)
+
+// Load pattern: both replicas of a group fall behind, so that its primary gets the
+// reads as well. They fill four fifths of it, and need both slots.
+func TestReplicasFallBehind(t *testing.T) {
+	g := NewWithT(t)
+	flows := replay.Shop(0.8)
+	const length = 12 * time.Second
+	for seed := range uint64(5) {
+		// The last to arrive have their objective to be answered.
+		all := replay.Arrivals(flows, length-flows[2].Objective, seed)
+		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, length)
+		for i, f := range r {
+			g.Expect(f.Share()).To(BeNumerically(">=", 0.99), flows[i].Entry)
+		}
+		reserved := replay.Run(admission.DefaultOptions(), replay.ShopSlots, flows, all, length)
+		g.Expect(reserved.Worth(flows)).To(BeNumerically("<", r.Worth(flows)))
+	}
+}
+
+// Load pattern: a server turns slow. Urgent work must not wait for two slow
+// statements to end.
+func TestSlowStatementsLeaveASlotToUrgentWork(t *testing.T) {
+	g := NewWithT(t)
+	flows := []replay.Flow{
+		{Entry: "orders", Rank: catalogue.RankOrders, PerSecond: 10, Mean: 5 * time.Millisecond, Objective: 500 * time.Millisecond, Worth: 5},
+		{Entry: "reports", Rank: catalogue.RankReports, PerSecond: 20, Mean: time.Second, Objective: 10 * time.Second, Worth: 1, From: time.Second},
+	}
+	for seed := range uint64(5) {
+		all := replay.Arrivals(flows, 30*time.Second, seed)
+		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, 31*time.Second)
+		g.Expect(r[0].Share()).To(BeNumerically(">=", 0.95))
+	}
+}
+
+// Load pattern: three times what the server can do, of every kind. The bound counts
+// orders that keep the ranks: without them, reviews would go before stock reads,
+// which are worth less for their time.
+func TestThreeTimesTheCapacity(t *testing.T) {
+	g := NewWithT(t)
+	flows := replay.Shop(3)
+	const length = 20 * time.Second
+	for seed := range uint64(5) {
+		all := replay.Arrivals(flows, length, seed)
+		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, length)
+		g.Expect(r[0].Share()).To(BeNumerically(">=", 0.95))
+		kept := r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, true)
+		free := r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, false)
+		t.Logf("seed %d: worth %.3f of the best that keeps the ranks, %.3f of the best", seed, kept, free)
+		g.Expect(kept).To(BeNumerically(">=", 0.9))
+	}
+}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -25,6 +25,7 @@
 	"egretroad/tools/measure/outcomes"
 	"egretroad/tools/measure/path"
 	"egretroad/tools/measure/reads"
+	"egretroad/tools/measure/replay"
 	"egretroad/tools/measure/report"
 	"egretroad/tools/measure/restart"
 )
@@ -44,6 +45,7 @@
 	"outcomes":     outcomes.Run,
 	"path":         path.Run,
 	"reads":        reads.Run,
+	"replay":       replay.Run,
 	"restart":      restart.Run,
 }
 
--- /dev/null
+++ b/tools/measure/replay/replay.go
@@ -0,0 +1,130 @@
+// Package replay measures the decisions of a home under load: goodput against offered
+// load, this version beside the first one and beside simple baselines, in simulated
+// time.
+package replay
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"egretroad/internal/admission"
+	"egretroad/internal/admission/replay"
+	"egretroad/tools/measure/report"
+)
+
+// The replays.
+const (
+	length = 20 * time.Second
+	seeds  = 5
+	// loadOfBounds is the offered load, in capacities, for which bounds are stated.
+	loadOfBounds = 3.0
+)
+
+var loads = []float64{0.5, 0.8, 1, 1.5, 2, loadOfBounds, 4}
+
+// variant is one way to decide.
+type variant struct {
+	name    string
+	options admission.Options
+}
+
+func variants() []variant {
+	first := admission.DefaultOptions()
+	arrival := admission.DefaultOptions()
+	arrival.Order, arrival.Policy = admission.OrderArrival, admission.PolicyQueueLength
+	unrefused := replay.ShortStatements()
+	unrefused.Policy = admission.PolicyQueueLength
+	return []variant{
+		{"this", replay.ShortStatements()},
+		{"first_landed", first},
+		{"no_early_refusal", unrefused},
+		{"first_come_first_served", arrival},
+	}
+}
+
+// point is what a variant brought at a load, as means over the seeds.
+type point struct {
+	load   float64
+	shares []float64 // answered in time, by flow
+	ranked float64   // worth, of the best order that keeps the ranks
+	free   float64   // worth, of the best order
+}
+
+func measure(v variant, load float64) point {
+	flows := replay.Shop(load)
+	p := point{load: load, shares: make([]float64, len(flows))}
+	for seed := range uint64(seeds) {
+		all := replay.Arrivals(flows, length, seed)
+		r := replay.Run(v.options, replay.ShopSlots, flows, all, length)
+		for i, t := range r {
+			p.shares[i] += t.Share() / seeds
+		}
+		p.ranked += r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, true) / seeds
+		p.free += r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, false) / seeds
+	}
+	return p
+}
+
+// Run makes the measurement. The arrivals of each seed are the same in all variants.
+func Run(_ context.Context, env *report.Env) (*report.Report, error) {
+	r := report.New("replay", env.Seed)
+	curves := map[string][]point{}
+	for _, v := range variants() {
+		for _, load := range loads {
+			p := measure(v, load)
+			curves[v.name] = append(curves[v.name], p)
+			name := func(figure string) string { return fmt.Sprintf("%s_%gx_%s", v.name, load, figure) }
+			r.Set(name("worth_ranked"), p.ranked)
+			r.Set(name("worth_free"), p.free)
+			for i, f := range replay.Shop(load) {
+				r.Set(name(f.Entry), p.shares[i])
+			}
+			if v.name == "this" && load == loadOfBounds {
+				r.AtLeast("urgent_in_time", p.shares[0], 0.95)
+				r.AtLeast("worth_of_the_best_that_keeps_ranks", p.ranked, 0.9)
+			}
+		}
+	}
+	return r, draw(curves, env)
+}
+
+// Plots go to the documentation when the measurement runs in the repository.
+const (
+	plotFolder = "docs"
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+func draw(curves map[string][]point, env *report.Env) error {
+	if _, err := os.Stat(plotFolder); err != nil {
+		env.Logf("event=no_plot cause=%q", err)
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text = "Replay: worth answered in time, of the best order that keeps the ranks"
+	p.X.Label.Text, p.Y.Label.Text = "offered load, capacities", "share"
+	p.Y.Min, p.Y.Max = 0, 1.05
+	p.Add(plotter.NewGrid())
+	for i, v := range variants() {
+		var line plotter.XYs
+		for _, at := range curves[v.name] {
+			line = append(line, plotter.XY{X: at.load, Y: at.ranked})
+		}
+		l, dots, err := plotter.NewLinePoints(line)
+		if err != nil {
+			return err
+		}
+		l.Color, dots.Color, dots.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
+		p.Add(l, dots)
+		p.Legend.Add(v.name, l, dots)
+	}
+	return p.Save(plotWidth, plotHeight, filepath.Join(plotFolder, "replay-worth.png"))
+}
