Index what entries say of a database group in the catalogue

The home of a server and the promotion machine each walked all entries to find the limit on connections and the number of synchronous replicas of a group. The catalogue keeps both by group. Names and comments of the lane and the proof say what they hold.

--- a/internal/broker/admin.go
+++ b/internal/broker/admin.go
@@ -68,7 +68,7 @@
 func (a *admin) prove(ctx context.Context) (Proof, error) {
 	return a.proofs.Do(ctx, "", func() (Proof, error) {
 		var asked time.Duration
-		var mark Proof
+		var proof Proof
 		ctx, cancel := context.WithTimeout(a.s.ctx, 2*a.s.options.ProbeTimeout)
 		defer cancel()
 		err := a.with(ctx, func(c Conn, deadline time.Time) error {
@@ -80,16 +80,16 @@
 			if !replies[0].OK() {
 				return &RefusedError{Code: replies[0].Code, Detail: replies[0].Detail}
 			}
-			mark.Mark = replies[0].Mark
+			proof.Mark = replies[0].Mark
 			_, err = c.Run(deadline, own(statement.Rollback))
 			return err
 		})
 		if err != nil {
 			return Proof{}, err
 		}
-		a.s.health.prove(mark, asked)
-		mark.Age = clock.Boottime() - asked
-		return mark, nil
+		a.s.health.prove(proof, asked)
+		proof.Age = clock.Boottime() - asked
+		return proof, nil
 	})
 }
 
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -20,13 +20,14 @@
 	wrote     bool // a statement of the transaction wrote
 	idleLimit time.Duration
 
-	mu       sync.Mutex // held while a statement runs; guards the fields below
-	conn     *pooled
-	slot     bool
-	ended    bool
+	mu    sync.Mutex // held while a statement runs; guards the fields up to useMu
+	conn  *pooled
+	slot  bool
+	ended bool
+
+	useMu    sync.Mutex    // guards the fields below, which upkeep reads while mu is held
 	lastUsed time.Duration // on CLOCK_BOOTTIME
 	busy     bool
-	useMu    sync.Mutex // guards lastUsed and busy
 }
 
 // defaultIdle is the longest pause inside a transaction that names none.
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -286,19 +286,13 @@
 		primary: g.Primary == spec.ID, limit: o.StandInConnections,
 	}
 	if v.home {
-		v.limit = max(1, int(float64(connectionLimit(o, snapshot, g.Database))*o.HomeShare))
-	}
-	return v
-}
-
-// connectionLimit returns a server's limit on connections from all VMs.
-func connectionLimit(o Options, snapshot *topology.Snapshot, database string) int {
-	for _, name := range snapshot.Catalogue.Names() {
-		if e, _ := snapshot.Catalogue.Entry(name); e.GroupName() == database && e.ServerConnections > 0 {
-			return e.ServerConnections
+		connections := snapshot.Catalogue.Group(g.Database).ServerConnections
+		if connections == 0 {
+			connections = o.DefaultConnections
 		}
+		v.limit = max(1, int(float64(connections)*o.HomeShare))
 	}
-	return o.DefaultConnections
+	return v
 }
 
 // Drain waits until no transaction is open here, or ctx ends.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -97,6 +97,13 @@
 	entries map[string]Entry
 	byKind  map[kindKey][]string
 	byDB    map[string]string
+	groups  map[string]Group
+}
+
+// Group is what the entries of a database group say of its servers.
+type Group struct {
+	ServerConnections int // least bound on the connections to one server; 0: none
+	SyncReplicas      int // most replicas that have a commit before it is acknowledged
 }
 
 type kindKey struct{ database, kind string }
@@ -108,6 +115,7 @@
 		entries: make(map[string]Entry, len(entries)),
 		byKind:  make(map[kindKey][]string),
 		byDB:    make(map[string]string),
+		groups:  make(map[string]Group),
 	}
 	for _, e := range entries {
 		c.entries[e.Name] = e
@@ -119,10 +127,28 @@
 		if _, set := c.byDB[e.Database]; e.Default && !set {
 			c.byDB[e.Database] = e.Kind
 		}
+		c.groups[e.GroupName()] = c.groups[e.GroupName()].with(e)
 	}
 	return c
 }
 
+func (g Group) with(e Entry) Group {
+	if e.ServerConnections > 0 && (g.ServerConnections == 0 || e.ServerConnections < g.ServerConnections) {
+		g.ServerConnections = e.ServerConnections
+	}
+	g.SyncReplicas = max(g.SyncReplicas, e.SyncReplicas)
+	return g
+}
+
+// Group returns what is known of a database group; zero for an unknown one, or
+// without a catalogue.
+func (c *Catalogue) Group(name string) Group {
+	if c == nil {
+		return Group{}
+	}
+	return c.groups[name]
+}
+
 // Names returns the entries' names in order.
 func (c *Catalogue) Names() []string {
 	names := make([]string, 0, len(c.entries))
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -249,7 +249,7 @@
 // acknowledged commit, and a leaving replica counts too.
 func (m *Machine) elect(g *topology.Group, s *group, reason, handOver string) {
 	e := Elect{Database: g.Database, HandOver: handOver}
-	synchronous := m.syncReplicas(g.Database)
+	synchronous := m.snapshot.Catalogue.Group(g.Database).SyncReplicas
 	replicas := 0
 	for _, server := range g.Servers {
 		if server.ID == g.Primary {
@@ -331,21 +331,6 @@
 	return n
 }
 
-// syncReplicas returns the number of replicas that have a commit of a group before
-// it is acknowledged.
-func (m *Machine) syncReplicas(database string) int {
-	most := 0
-	if m.snapshot.Catalogue == nil {
-		return 0
-	}
-	for _, name := range m.snapshot.Catalogue.Names() {
-		if e, _ := m.snapshot.Catalogue.Entry(name); e.GroupName() == database {
-			most = max(most, e.SyncReplicas)
-		}
-	}
-	return most
-}
-
 func (m *Machine) elected(e Elected) {
 	s, g := m.state(e.Database, electing)
 	if s == nil {
