Order simulated time in one place; replay the options that homes have

Found on reading the change again: the replay of loads had copied the heap of planned ends from the tests of the queue, and the simulation of authority had a third one; the replay also had its own copy of the threshold from which slots are kept.

Change: internal/simtime has the queue once, for all three. What is due at the same time comes in the order it was added, as in the simulation of authority. Replays take broker.DefaultOptions. Assertions are as they were; the measurement's code paths too.

--- a/internal/admission/floors_test.go
+++ b/internal/admission/floors_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"egretroad/internal/catalogue"
 	"egretroad/internal/outcome"
+	"egretroad/internal/simtime"
 )
 
 // load is one flow of work in a simulation: it always has work waiting.
@@ -21,35 +21,16 @@
 	callers int
 }
 
-// finish is the planned end of a statement in a simulation.
-type finish struct {
-	at time.Duration
-	id ID
-}
-
-type finishes []finish
-
-func (f finishes) Len() int           { return len(f) }
-func (f finishes) Less(i, j int) bool { return f[i].at < f[j].at }
-func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
-func (f *finishes) Push(x any)        { *f = append(*f, x.(finish)) }
-func (f *finishes) Pop() any {
-	last := len(*f) - 1
-	x := (*f)[last]
-	*f = (*f)[:last]
-	return x
-}
-
 // simulation runs loads that never end on one machine, in simulated time.
 type simulation struct {
 	m      *Machine
 	loads  []load
 	now    time.Duration
 	nextID ID
-	owner  map[ID]int // load by transaction
-	ends   finishes
-	used   []time.Duration // slot time by load
-	byWho  map[string]int  // grants by caller
+	owner  map[ID]int        // load by transaction
+	ends   simtime.Queue[ID] // of statements
+	used   []time.Duration   // slot time by load
+	byWho  map[string]int    // grants by caller
 }
 
 func newSimulation(options Options, slots int, loads []load) *simulation {
@@ -85,20 +66,19 @@
 	e.Now = s.now
 	for _, effect := range s.m.Step(e) {
 		if effect.Type == EffectGrant {
-			heap.Push(&s.ends, finish{at: s.now + s.loads[s.owner[effect.ID]].service, id: effect.ID})
+			s.ends.Add(s.now+s.loads[s.owner[effect.ID]].service, effect.ID)
 		}
 	}
 }
 
 func (s *simulation) run(until time.Duration) {
-	for s.ends.Len() > 0 && s.ends[0].at <= until {
-		next := heap.Pop(&s.ends).(finish)
-		s.now = next.at
-		n := s.owner[next.id]
+	for at, id, due := s.ends.Next(until); due; at, id, due = s.ends.Next(until) {
+		s.now = at
+		n := s.owner[id]
 		s.used[n] += s.loads[n].service
-		caller := s.m.items[next.id].work.Caller
+		caller := s.m.items[id].work.Caller
 		s.byWho[caller]++
-		s.step(Event{Type: EventEnd, ID: next.id})
+		s.step(Event{Type: EventEnd, ID: id})
 		var index int
 		_, _ = fmt.Sscanf(caller, s.loads[n].entry.Entry+"-%d", &index)
 		s.offer(n, index)
@@ -191,13 +171,13 @@
 	m.Step(Event{Type: EventConfigure, Config: &Config{Slots: 2, ConnectionLimit: 10}})
 	m.Step(Event{Type: EventConnections, Connections: 10})
 	const service, deadline = 10 * time.Millisecond, 200 * time.Millisecond
-	var ends finishes
+	var ends simtime.Queue[ID]
 	counts := map[outcome.Reason]int{}
 	accepted, served := map[ID]bool{}, 0
 	take := func(now time.Duration, effects []Effect) {
 		for _, e := range effects {
 			if e.Type == EffectGrant {
-				heap.Push(&ends, finish{at: now + service, id: e.ID})
+				ends.Add(now+service, e.ID)
 				served++
 				continue
 			}
@@ -211,9 +191,8 @@
 	const offers = 5000
 	for id := ID(1); id <= offers; id++ {
 		now := time.Duration(id) * time.Millisecond // 1000 a second; 200 a second can be served
-		for ends.Len() > 0 && ends[0].at <= now {
-			end := heap.Pop(&ends).(finish)
-			take(end.at, m.Step(Event{Type: EventEnd, Now: end.at, ID: end.id}))
+		for at, ended, due := ends.Next(now); due; at, ended, due = ends.Next(now) {
+			take(at, m.Step(Event{Type: EventEnd, Now: at, ID: ended}))
 		}
 		before := m.Waiting()
 		take(now, m.Step(Event{Type: EventOffer, Now: now, Work: Work{ID: id, Entry: "e", Kind: "k", Owner: "o", Caller: fmt.Sprint(id), Rank: 1, Deadline: now + deadline}}))
--- a/internal/admission/replay/replay.go
+++ b/internal/admission/replay/replay.go
@@ -4,7 +4,6 @@
 package replay
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -12,6 +11,7 @@
 
 	"egretroad/internal/admission"
 	"egretroad/internal/catalogue"
+	"egretroad/internal/simtime"
 )
 
 // Flow is one kind of single statements that arrives at random.
@@ -72,25 +72,6 @@
 	return all
 }
 
-// finish is the end of a statement.
-type finish struct {
-	at time.Duration
-	id admission.ID
-}
-
-type finishes []finish
-
-func (f finishes) Len() int           { return len(f) }
-func (f finishes) Less(i, j int) bool { return f[i].at < f[j].at }
-func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
-func (f *finishes) Push(x any)        { *f = append(*f, x.(finish)) }
-func (f *finishes) Pop() any {
-	last := len(*f) - 1
-	x := (*f)[last]
-	*f = (*f)[:last]
-	return x
-}
-
 // connections is the limit of the replayed server; single statements need one for
 // each slot.
 const connections = 8
@@ -101,7 +82,7 @@
 	flows  []Flow
 	all    []Arrival
 	length time.Duration
-	ends   finishes
+	ends   simtime.Queue[admission.ID] // of statements
 	result Result
 }
 
@@ -133,7 +114,7 @@
 			continue
 		}
 		end := e.Now + a.service
-		heap.Push(&p.ends, finish{at: end, id: effect.ID})
+		p.ends.Add(end, effect.ID)
 		switch {
 		case end > p.length:
 		case end-a.at <= p.flows[a.flow].Objective:
@@ -145,9 +126,8 @@
 }
 
 func (p *player) finishUntil(until time.Duration) {
-	for p.ends.Len() > 0 && p.ends[0].at <= until {
-		next := heap.Pop(&p.ends).(finish)
-		p.step(admission.Event{Type: admission.EventEnd, Now: next.at, ID: next.id})
+	for at, id, due := p.ends.Next(until); due; at, id, due = p.ends.Next(until) {
+		p.step(admission.Event{Type: admission.EventEnd, Now: at, ID: id})
 	}
 }
 
@@ -186,10 +166,3 @@
 		{Entry: "review", Rank: catalogue.RankReports, PerSecond: load * requests * 0.70, Mean: 14 * time.Millisecond, Objective: 2 * time.Second, Worth: 1.3},
 	}
 }
-
-// ShortStatements returns the options of homes whose servers run short statements.
-func ShortStatements() admission.Options {
-	o := admission.DefaultOptions()
-	o.ReserveAbove = 100 * time.Millisecond
-	return o
-}
--- a/internal/admission/replay/replay_test.go
+++ b/internal/admission/replay/replay_test.go
@@ -8,6 +8,7 @@
 
 	"egretroad/internal/admission"
 	"egretroad/internal/admission/replay"
+	"egretroad/internal/broker"
 	"egretroad/internal/catalogue"
 )
 
@@ -20,7 +21,7 @@
 	for seed := range uint64(5) {
 		// The last to arrive have their objective to be answered.
 		all := replay.Arrivals(flows, length-flows[2].Objective, seed)
-		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, length)
+		r := replay.Run(broker.DefaultOptions().Admission, replay.ShopSlots, flows, all, length)
 		for i, f := range r {
 			g.Expect(f.Share()).To(BeNumerically(">=", 0.99), flows[i].Entry)
 		}
@@ -39,7 +40,7 @@
 	}
 	for seed := range uint64(5) {
 		all := replay.Arrivals(flows, 30*time.Second, seed)
-		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, 31*time.Second)
+		r := replay.Run(broker.DefaultOptions().Admission, replay.ShopSlots, flows, all, 31*time.Second)
 		g.Expect(r[0].Share()).To(BeNumerically(">=", 0.95))
 	}
 }
@@ -53,7 +54,7 @@
 	const length = 20 * time.Second
 	for seed := range uint64(5) {
 		all := replay.Arrivals(flows, length, seed)
-		r := replay.Run(replay.ShortStatements(), replay.ShopSlots, flows, all, length)
+		r := replay.Run(broker.DefaultOptions().Admission, replay.ShopSlots, flows, all, length)
 		g.Expect(r[0].Share()).To(BeNumerically(">=", 0.95))
 		kept := r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, true)
 		free := r.Worth(flows) / replay.BestWorth(flows, all, replay.ShopSlots*length, false)
--- a/internal/authority/world_test.go
+++ b/internal/authority/world_test.go
@@ -1,13 +1,13 @@
 package authority
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
+	"egretroad/internal/simtime"
 	"egretroad/internal/topology"
 )
 
@@ -28,8 +28,7 @@
 	rng    *rand.Rand
 	opts   Options
 	now    time.Duration
-	queue  actions
-	serial uint64
+	queue  simtime.Queue[func()]
 	vms    []*simVM
 	store  simStore
 	server map[string]*simServer
@@ -53,31 +52,6 @@
 	byReplica bool
 }
 
-// action is something that happens at a time.
-type action struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type actions []action
-
-func (a actions) Len() int { return len(a) }
-func (a actions) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].order < a[j].order
-}
-func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *actions) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // newWorld builds three data centres with vmsPerCentre VMs and one server each.
 func newWorld(seed uint64, opts Options, vmsPerCentre int) *world {
 	w := &world{
@@ -107,10 +81,7 @@
 	return w
 }
 
-func (w *world) at(t time.Duration, run func()) {
-	w.serial++
-	heap.Push(&w.queue, action{at: t, order: w.serial, run: run})
-}
+func (w *world) at(t time.Duration, run func()) { w.queue.Add(t, run) }
 
 func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
 
@@ -124,10 +95,13 @@
 // runFor lets simulated time pass.
 func (w *world) runFor(d time.Duration) {
 	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end && len(w.violations) == 0 {
-		next := heap.Pop(&w.queue).(action)
-		w.now = next.at
-		next.run()
+	for len(w.violations) == 0 {
+		at, run, due := w.queue.Next(end)
+		if !due {
+			break
+		}
+		w.now = at
+		run()
 	}
 	w.now = max(w.now, end)
 }
--- a/tools/measure/replay/replay.go
+++ b/tools/measure/replay/replay.go
@@ -17,6 +17,7 @@
 
 	"egretroad/internal/admission"
 	"egretroad/internal/admission/replay"
+	"egretroad/internal/broker"
 	"egretroad/tools/measure/report"
 )
 
@@ -40,10 +41,10 @@
 	first := admission.DefaultOptions()
 	arrival := admission.DefaultOptions()
 	arrival.Order, arrival.Policy = admission.OrderArrival, admission.PolicyQueueLength
-	unrefused := replay.ShortStatements()
+	unrefused := broker.DefaultOptions().Admission
 	unrefused.Policy = admission.PolicyQueueLength
 	return []variant{
-		{"this", replay.ShortStatements()},
+		{"this", broker.DefaultOptions().Admission},
 		{"first_landed", first},
 		{"no_early_refusal", unrefused},
 		{"first_come_first_served", arrival},
