--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"golang.org/x/sys/unix"
+
+	"egretroad/internal/tcp"
 )
 
 // Options says how to connect to backend servers.
@@ -125,26 +127,13 @@
 
 // dialer dials from the bound source address.
 func (o Options) dialer() *net.Dialer {
-	d := &net.Dialer{KeepAlive: o.KeepAlive, Control: o.control}
+	d := &net.Dialer{KeepAlive: o.KeepAlive, Control: tcp.UnackedTimeout(o.UnackedTimeout)}
 	if ip := net.ParseIP(o.BindIP); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return d
 }
 
-// control bounds the time that sent bytes stay unacknowledged.
-func (o Options) control(_, _ string, c syscall.RawConn) error {
-	var setErr error
-	err := c.Control(func(fd uintptr) {
-		ms := int(o.UnackedTimeout / time.Millisecond)
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
-}
-
 // Addr returns the server's address.
 func (c *Conn) Addr() string { return c.addr }
 
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -76,16 +76,9 @@
 
 func (a *statusAnswer) outcome() error { return a.Failure.outcome() }
 
-func decodeQuery(body []byte, query any) error {
-	if err := msgpack.Unmarshal(body, query); err != nil {
-		return &peer.FrameError{Detail: "decoding a query", Cause: err}
-	}
-	return nil
-}
-
 func (d *Dispatcher) servePosition(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var q positionQuery
-	if err := decodeQuery(body, &q); err != nil {
+	if err := peer.DecodeBody(body, &q); err != nil {
 		return nil, err
 	}
 	mark, err := d.local.Position(ctx, q.Server)
@@ -94,7 +87,7 @@
 
 func (d *Dispatcher) serveWaitApplied(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var q waitQuery
-	if err := decodeQuery(body, &q); err != nil {
+	if err := peer.DecodeBody(body, &q); err != nil {
 		return nil, err
 	}
 	status, err := d.local.WaitApplied(ctx, q.Server, q.Mark)
@@ -103,7 +96,7 @@
 
 func (d *Dispatcher) serveAdmin(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var r txn.AdminRequest
-	if err := decodeQuery(body, &r); err != nil {
+	if err := peer.DecodeBody(body, &r); err != nil {
 		return nil, err
 	}
 	status, err := d.local.Admin(ctx, r)
