Simplify the state of ended replicas, dropped lines and homes

Found on reading the change again: - ended replicas were a map of maps, filled with every server and emptied again: one map by server, of those that are gone; - two counters of dropped log lines differed by what had been told: one counter; - the home of a server on another VM was looked up in three ways in Fleet, a served server in three in Manager; - a reason that no home gives was checked for; a hand-written back-off is the library's now, with the same pauses; the event of a question that cannot fail to encode goes. No change of behaviour otherwise; the tests are unchanged.

--- a/internal/broker/fleet.go
+++ b/internal/broker/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -50,26 +49,34 @@
 
 // Run implements Broker.
 func (f *Fleet) Run(ctx context.Context, r Request) Result {
-	snapshot := f.source.Snapshot()
 	if r.Joined {
 		return f.runVia(ctx, r, r.Via)
 	}
-	home, known := snapshot.Home(r.Server)
-	if !known || home.ID == snapshot.Self {
-		return f.runVia(ctx, r, snapshot.Self)
+	self := f.source.Snapshot().Self
+	home, remote := f.remoteHome(r.Server)
+	if !remote {
+		return f.runVia(ctx, r, self)
 	}
-	result := f.runVia(ctx, r, home.ID)
+	result := f.runVia(ctx, r, home)
 	if result.Outcome == NotRun && homeFailed(result) && ctx.Err() == nil {
-		return f.runVia(ctx, r, snapshot.Self)
+		return f.runVia(ctx, r, self)
 	}
 	return result
 }
 
+// remoteHome returns the VM that is home of a server; false when that is this one,
+// or nobody.
+func (f *Fleet) remoteHome(server string) (string, bool) {
+	snapshot := f.source.Snapshot()
+	home, known := snapshot.Home(server)
+	return home.ID, known && home.ID != snapshot.Self
+}
+
 // homeFailed reports whether another VM may do better than the home that gave
 // the result. A server's own refusal of connections holds for every VM.
 func homeFailed(r Result) bool {
 	switch r.Reason {
-	case outcome.ReasonHomeLost, outcome.ReasonNoServer, outcome.ReasonNotHome:
+	case outcome.ReasonHomeLost, outcome.ReasonNoServer:
 		return true
 	case outcome.ReasonConnect:
 		return r.Code == statement.None
@@ -120,26 +127,10 @@
 	return f.peers.CallAnswering(ctx, vm, method.Statement, body)
 }
 
-// call makes a unary call with msgpack bodies.
-func (f *Fleet) call(ctx context.Context, vm, name string, query, reply any) error {
-	body, err := msgpack.Marshal(query)
-	if err != nil {
-		return fmt.Errorf("encoding %s: %w", name, err)
-	}
-	raw, err := f.peers.Call(ctx, vm, name, body)
-	if err != nil {
-		return err
-	}
-	if err := msgpack.Unmarshal(raw, reply); err != nil {
-		return fmt.Errorf("decoding the answer of %s: %w", name, err)
-	}
-	return nil
-}
-
 func (f *Fleet) serveRun(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var r Request
-	if err := msgpack.Unmarshal(body, &r); err != nil {
-		return nil, &peer.FrameError{Detail: "decoding a statement", Cause: err}
+	if err := peer.DecodeBody(body, &r); err != nil {
+		return nil, err
 	}
 	result := f.local.Run(ctx, r)
 	return msgpack.Marshal(&result)
@@ -167,8 +158,8 @@
 
 func (f *Fleet) serveRelease(_ context.Context, from string, body []byte) ([]byte, error) {
 	var n releaseNotice
-	if err := msgpack.Unmarshal(body, &n); err != nil {
-		return nil, &peer.FrameError{Detail: "decoding a release", Cause: err}
+	if err := peer.DecodeBody(body, &n); err != nil {
+		return nil, err
 	}
 	go f.local.Release(from, n.Server, n.Lane)
 	return nil, nil
@@ -188,14 +179,13 @@
 func (f *Fleet) Position(ctx context.Context, server string, maxAge time.Duration) (Proof, error) {
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
-	snapshot := f.source.Snapshot()
-	home, known := snapshot.Home(server)
-	if !known || home.ID == snapshot.Self {
+	home, remote := f.remoteHome(server)
+	if !remote {
 		return f.local.Position(ctx, server, maxAge)
 	}
 	asked := clock.Boottime()
 	var answer proofAnswer
-	err := f.call(ctx, home.ID, method.Proof, &proofQuery{Server: server, MaxAge: maxAge}, &answer)
+	err := peer.Ask(ctx, f.peers, home, method.Proof, &proofQuery{Server: server, MaxAge: maxAge}, &answer)
 	if err == nil && answer.Code != statement.None {
 		return Proof{}, &RefusedError{Code: answer.Code, Detail: answer.Detail}
 	}
@@ -215,8 +205,8 @@
 
 func (f *Fleet) serveProof(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var q proofQuery
-	if err := msgpack.Unmarshal(body, &q); err != nil {
-		return nil, &peer.FrameError{Detail: "decoding a question for a proof", Cause: err}
+	if err := peer.DecodeBody(body, &q); err != nil {
+		return nil, err
 	}
 	var answer proofAnswer
 	proof, err := f.local.Position(ctx, q.Server, q.MaxAge)
@@ -234,11 +224,9 @@
 
 // Standing implements Broker.
 func (f *Fleet) Standing(ctx context.Context, server string) (Standing, error) {
-	snapshot := f.source.Snapshot()
-	home, known := snapshot.Home(server)
-	if known && home.ID != snapshot.Self {
+	if home, remote := f.remoteHome(server); remote {
 		var answer standingAnswer
-		err := f.call(ctx, home.ID, method.Standing, server, &answer)
+		err := peer.Ask(ctx, f.peers, home, method.Standing, server, &answer)
 		if err == nil && answer.Detail == "" {
 			return answer.Standing, nil
 		}
@@ -254,8 +242,8 @@
 
 func (f *Fleet) serveStanding(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var server string
-	if err := msgpack.Unmarshal(body, &server); err != nil {
-		return nil, &peer.FrameError{Detail: "decoding a question for a standing", Cause: err}
+	if err := peer.DecodeBody(body, &server); err != nil {
+		return nil, err
 	}
 	var answer standingAnswer
 	standing, err := f.local.Standing(ctx, server)
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -181,6 +181,13 @@
 	return m.take(snapshot, g, spec), nil
 }
 
+// served returns a server that this VM serves already, or nil.
+func (m *Manager) served(id string) *server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.servers[id]
+}
+
 // Run implements Broker.
 func (m *Manager) Run(ctx context.Context, r Request) Result {
 	s, err := m.find(r.Server)
@@ -192,10 +199,7 @@
 
 // Release implements Broker.
 func (m *Manager) Release(_, server string, lane LaneID) {
-	m.mu.Lock()
-	s := m.servers[server]
-	m.mu.Unlock()
-	if s != nil {
+	if s := m.served(server); s != nil {
 		s.release(lane)
 	}
 }
@@ -244,10 +248,7 @@
 // Hold lets a server take no new work until a time on CLOCK_BOOTTIME, while a
 // replica takes over from it.
 func (m *Manager) Hold(server string, until time.Duration) {
-	m.mu.Lock()
-	s := m.servers[server]
-	m.mu.Unlock()
-	if s != nil {
+	if s := m.served(server); s != nil {
 		s.hold(until)
 	}
 }
@@ -255,9 +256,7 @@
 // Quiesce waits until no statement is on its way to a server that hands over, or
 // ctx ends; it reports whether that is so.
 func (m *Manager) Quiesce(ctx context.Context, server string) bool {
-	m.mu.Lock()
-	s := m.servers[server]
-	m.mu.Unlock()
+	s := m.served(server)
 	for s != nil && !s.quiet() {
 		select {
 		case <-ctx.Done():
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -78,7 +78,7 @@
 	bound := eventlog.NewBound(o.linesPerSecond)
 	log := eventlog.NewBounded(out, hclog.LevelFromString(o.level), bound, "vm", settings.VM)
 	m := metrics.NewRegistry()
-	m.Gauge("log_lines_dropped", "Log lines that a slow reader of standard output did not take.", func() float64 { return float64(out.DroppedInAll()) })
+	m.Gauge("log_lines_dropped", "Log lines that a slow reader of standard output did not take.", func() float64 { return float64(out.Dropped()) })
 	m.Gauge("log_lines_left_out", "Log lines beyond the bound of their event.", func() float64 { return float64(bound.LeftOut()) })
 	n, err := node.New(settings.NodeSettings(), platform.NewAdapters(settings, m, log), m, log)
 	if err != nil {
--- a/internal/eventlog/async.go
+++ b/internal/eventlog/async.go
@@ -18,8 +18,7 @@
 type Async struct {
 	w       io.Writer
 	lines   chan []byte
-	dropped atomic.Uint64 // since the last line that told
-	all     atomic.Uint64 // dropped, told or not
+	dropped atomic.Uint64
 	done    sync.WaitGroup
 }
 
@@ -37,21 +36,18 @@
 	case a.lines <- append([]byte(nil), line...):
 	default:
 		a.dropped.Add(1)
-		a.all.Add(1)
 	}
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped so far and not yet told.
+// Dropped returns the number of lines dropped since the start.
 func (a *Async) Dropped() uint64 { return a.dropped.Load() }
 
-// DroppedInAll returns the number of lines dropped since the start.
-func (a *Async) DroppedInAll() uint64 { return a.all.Load() }
-
 // run writes the lines that wait, many in one write.
 func (a *Async) run() {
 	defer a.done.Done()
 	var batch []byte
+	var told uint64
 	for line := range a.lines {
 		batch = append(batch[:0], line...)
 		for more := true; more; {
@@ -63,9 +59,10 @@
 				more = false
 			}
 		}
-		if n := a.dropped.Swap(0); n > 0 {
+		if n := a.dropped.Load() - told; n > 0 {
+			told += n
 			batch = fmt.Appendf(batch, "time=%s level=warn event=log_lines_dropped count=%d\n",
-				time.Now().UTC().Format("2006-01-02T15:04:05.000Z"), n)
+				time.Now().UTC().Format(timeFormat), n)
 		}
 		_, _ = a.w.Write(batch) // there is nowhere to report a log that cannot be written
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,6 +29,9 @@
 // Discard returns a logger that writes nothing.
 func Discard() hclog.Logger { return hclog.NewNullLogger() }
 
+// timeFormat is that of the field time, in UTC.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
 // sink formats events; it implements hclog.SinkAdapter.
 type sink struct {
 	mu    sync.Mutex // guards w
@@ -60,7 +63,7 @@
 func (s *sink) write(name string, level hclog.Level, msg string, args ...any) {
 	var b strings.Builder
 	b.WriteString("time=")
-	b.WriteString(time.Now().UTC().Format("2006-01-02T15:04:05.000Z"))
+	b.WriteString(time.Now().UTC().Format(timeFormat))
 	writePair(&b, "level", level.String())
 	if name != "" {
 		writePair(&b, "component", name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
@@ -175,7 +176,9 @@
 
 // register writes this VM's entry until the store has taken it.
 func (n *Node) register() {
-	pause := registerFirst
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = registerFirst, registerMax
+	pauses.Multiplier, pauses.RandomizationFactor = 2, 0
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 		err := n.adapters.Registrar.RegisterVM(ctx, n.settings.Self)
@@ -184,13 +187,13 @@
 			n.parts.Log.Info("vm_registered", "peer_addr", n.settings.Self.PeerAddr)
 			return
 		}
+		pause := pauses.NextBackOff()
 		n.parts.Log.Warn("vm_not_registered", "error", err, "retry_in", pause)
 		select {
 		case <-n.stopping:
 			return
 		case <-time.After(pause):
 		}
-		pause = min(2*pause, registerMax)
 	}
 }
 
@@ -205,11 +208,18 @@
 // serveReady answers the readiness probe.
 func (n *Node) serveReady() {
 	server := &http.Server{Handler: n.adapters.ReadyHandler(n.Ready), ReadHeaderTimeout: time.Second}
-	err := server.Serve(n.parts.Listeners.ready)
+	if err := server.Serve(n.parts.Listeners.ready); !n.stops() {
+		n.parts.Log.Error("ready_listener_failed", "error", err)
+	}
+}
+
+// stops reports whether the process has begun to stop.
+func (n *Node) stops() bool {
 	select {
 	case <-n.stopping:
+		return true
 	default:
-		n.parts.Log.Error("ready_listener_failed", "error", err)
+		return false
 	}
 }
 
@@ -222,10 +232,7 @@
 	}
 	n.serving.Store(true)
 	n.parts.Log.Info("ready")
-	err := n.parts.Sessions.Serve(n.parts.Listeners.callers)
-	select {
-	case <-n.stopping:
-	default:
+	if err := n.parts.Sessions.Serve(n.parts.Listeners.callers); !n.stops() {
 		n.parts.Log.Error("caller_listener_failed", "error", err)
 	}
 }
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -44,13 +44,13 @@
 	now      time.Duration
 	snapshot *topology.Snapshot
 	groups   map[string]*group
-	ended    map[string]map[string]time.Duration // by database and replica: when its registration ended
+	ended    map[string]endedReplica // by server
 	effects  []reducer.Effect
 }
 
 // New returns a machine of a VM.
 func New(o Options, self string) *Machine {
-	return &Machine{options: o, self: self, groups: map[string]*group{}, ended: map[string]map[string]time.Duration{}}
+	return &Machine{options: o, self: self, groups: map[string]*group{}, ended: map[string]endedReplica{}}
 }
 
 // Step implements reducer.Machine.
@@ -280,38 +280,34 @@
 	m.emit(e)
 }
 
+// endedReplica is a replica whose registration ended.
+type endedReplica struct {
+	database string
+	at       time.Duration
+}
+
 // noteEnded notes the replicas whose registration ended, by two snapshots that
 // follow each other. Servers that left in order are not waited for.
 func (m *Machine) noteEnded(old, next *topology.Snapshot) {
+	for id, ended := range m.ended {
+		if _, _, back := next.FindServer(id); back || m.now-ended.at > m.options.ReturnLimit {
+			delete(m.ended, id)
+		}
+	}
 	if old == nil {
 		return
 	}
 	for database, g := range next.Groups {
 		was := old.Groups[database]
-		if was == g || was == nil {
+		if was == nil || was == g {
 			continue
 		}
-		if m.ended[database] == nil {
-			m.ended[database] = map[string]time.Duration{}
-		}
 		for _, server := range was.Servers {
-			if server.ID != was.Primary && server.State != topology.ServerLeaving {
-				m.ended[database][server.ID] = m.now
+			_, registered := g.Server(server.ID)
+			if !registered && server.ID != was.Primary && server.State != topology.ServerLeaving {
+				m.ended[server.ID] = endedReplica{database: database, at: m.now}
 			}
 		}
-		for _, server := range g.Servers {
-			delete(m.ended[database], server.ID)
-		}
-	}
-	for database, ended := range m.ended {
-		for id, at := range ended {
-			if m.now-at > m.options.ReturnLimit {
-				delete(ended, id)
-			}
-		}
-		if len(ended) == 0 || next.Groups[database] == nil {
-			delete(m.ended, database)
-		}
 	}
 }
 
@@ -323,8 +319,8 @@
 		lost = s.absent
 	}
 	n := 0
-	for _, at := range m.ended[g.Database] {
-		if at >= lost && m.now-at <= m.options.ReturnLimit {
+	for _, ended := range m.ended {
+		if ended.database == g.Database && ended.at >= lost && m.now-ended.at <= m.options.ReturnLimit {
 			n++
 		}
 	}
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -139,17 +139,11 @@
 func (x *Executor) ask(ctx context.Context, e promotion.AskWitnesses) reducer.Event {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	body, err := msgpack.Marshal(e.Server)
-	if err != nil {
-		x.deps.Log.Error("witness_question_invalid", "error", err)
-		return promotion.WitnessesAsked{Database: e.Database, Server: e.Server}
-	}
 	answers := make(chan *reachAnswer, len(e.VMs))
 	for _, vm := range e.VMs {
 		go func() {
-			raw, err := x.deps.Peers.Call(ctx, vm, method.Reach, body)
 			var a reachAnswer
-			if err != nil || msgpack.Unmarshal(raw, &a) != nil {
+			if err := peer.Ask(ctx, x.deps.Peers, vm, method.Reach, e.Server, &a); err != nil {
 				x.deps.Log.Warn("witness_silent", "vm", vm, "server", e.Server, "error", err)
 				answers <- nil
 				return
@@ -171,8 +165,8 @@
 
 func (x *Executor) serveReach(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var server string
-	if err := msgpack.Unmarshal(body, &server); err != nil {
-		return nil, &peer.FrameError{Detail: "decoding a question of reach", Cause: err}
+	if err := peer.DecodeBody(body, &server); err != nil {
+		return nil, err
 	}
 	err := x.deps.Local.Probe(ctx, server)
 	return msgpack.Marshal(&reachAnswer{Reached: err == nil})
