Log inferred deletions and the claim of completeness behind them

A VM that receives an object which it does not know, of a revision up to which it knows every object, takes it for deleted. The logs did not tell this from a deletion in the store, nor whence the VM had its claim, so they could not tell the hypotheses about missing routes apart.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -29,6 +29,7 @@
 
 	objects          objectTable
 	completeRevision uint64 // every object up to this store revision is known
+	completeFrom     string // source of this claim, for logs and dumps
 	members          memberTable
 	ring             ring
 	self             selfState
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -341,3 +341,16 @@
 	}
 	g.Expect(listed).To(ConsistOf("a1", "a2", "b1", "c1"))
 }
+
+// A VM that takes an unknown object for a deleted one logs on which claim that is based.
+func TestInferredDeletionIsLoggedWithItsClaim(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(22)
+	stale := registration(g, "1", 20, topology.RoleReplica, topology.ServerActive)
+	h.post(control.PeerFetched{From: "b1", Reply: control.FetchReply{Objects: []control.ObjectRecord{
+		{Kind: stale.Kind, Name: stale.Name, Version: stale.Version, Value: stale.Value},
+	}}})
+	g.Expect(h.effects).To(ContainElement(control.Log{Event: "deletion_inferred", Fields: []any{
+		"object", "server/1", "from", "b1", "version", uint64(20), "complete", uint64(22), "complete_from", "list of the store",
+	}}))
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"egretroad/internal/platform"
@@ -163,7 +164,7 @@
 	if !m.Ready() {
 		m.log("catalogue_from_store", "revision", min(c, g))
 	}
-	m.completeRevision = max(m.completeRevision, min(c, g), 1)
+	m.raiseComplete(max(min(c, g), 1), "list of the store")
 	m.store.relistNeeded = false
 	m.store.listedRevisions = nil
 	m.store.watch.due = m.now
@@ -197,7 +198,7 @@
 	watched := toRecords(e.Response.Objects)
 	changed := m.mergeObjects(watched, sourceWatch)
 	if e.Since <= m.completeRevision {
-		m.completeRevision = max(m.completeRevision, e.Response.Revision)
+		m.raiseComplete(e.Response.Revision, fmt.Sprintf("watch since %d", e.Since))
 	}
 	if len(changed) > 0 {
 		m.relayUpdates(m.knownRecords(watched), since, m.completeRevision, sourceWatch)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -41,6 +42,7 @@
 func (m *Machine) mergeObjects(records []ObjectRecord, from string) []ObjectRecord {
 	var newRecords []ObjectRecord
 	for _, r := range records {
+		received := r
 		if from != sourceStore && from != sourceWatch {
 			r = m.deletionIfStale(r)
 		}
@@ -51,6 +53,10 @@
 			newRecords = append(newRecords, o.record)
 			m.status.reportPending = true
 		}
+		if isNew && r.Deleted && !received.Deleted {
+			m.log("deletion_inferred", "object", key.String(), "from", from, "version", received.Version,
+				"complete", m.completeRevision, "complete_from", m.completeFrom)
+		}
 		if isNew && o.parseErr != nil {
 			m.alarm("object_invalid", "object", key.String(), "version", r.Version, "in_force", o.inForce, "error", o.parseErr)
 		}
@@ -61,6 +67,13 @@
 	return newRecords
 }
 
+// raiseComplete raises the complete revision. from tells where the claim comes from.
+func (m *Machine) raiseComplete(revision uint64, from string) {
+	if revision > m.completeRevision {
+		m.completeRevision, m.completeFrom = revision, from
+	}
+}
+
 // deletionIfStale converts a peer's record of an unknown object into a deletion if
 // every object up to the record's version is known here: a peer that missed the
 // deletion must not resurrect the object.
@@ -118,8 +131,8 @@
 func (m *Machine) handleObjectUpdate(from string, update ObjectUpdate) {
 	m.self.lastReceived = m.now
 	changed := m.mergeObjects(update.Objects, from)
-	if m.Ready() && update.Since <= m.completeRevision && update.Revision > m.completeRevision {
-		m.completeRevision = update.Revision
+	if m.Ready() && update.Since <= m.completeRevision {
+		m.raiseComplete(update.Revision, fmt.Sprintf("update of %s since %d", from, update.Since))
 	}
 	if len(changed) > 0 {
 		m.relayUpdates(m.knownRecords(update.Objects), update.Since, update.Revision, from)
@@ -159,8 +172,8 @@
 // compareDigests records whether a peer's digests differ from the local ones. If the
 // objects are equal, the peer's complete revision applies here as well.
 func (m *Machine) compareDigests(from string, h Heartbeat) {
-	if h.Objects == m.objects.digest && h.Complete > m.completeRevision {
-		m.completeRevision = h.Complete
+	if h.Objects == m.objects.digest {
+		m.raiseComplete(h.Complete, "digest of "+from)
 	}
 	if h.Objects == m.objects.digest && h.Members == m.members.currentDigest() {
 		delete(m.sync.differsSince, from)
@@ -305,7 +318,7 @@
 	}
 	changed := m.mergeObjects(e.Reply.Objects, e.From)
 	if !m.Ready() && e.Reply.Complete > 0 {
-		m.completeRevision = e.Reply.Complete
+		m.raiseComplete(e.Reply.Complete, "copy of "+e.From)
 		m.log("catalogue_from_peer", "from", e.From, "revision", e.Reply.Complete)
 	}
 	for _, r := range e.Reply.Members {
