Claim completeness only for the kind whose changes a message holds

Cause: the store is watched once for each kind, but a VM had one revision up to which it called itself complete, the lower of the two cursors. The changes of a response could be newer than that, so the next response of the other kind claimed a range with changes that it did not hold, and so did the update relayed from it. A VM that missed the first update believed that it knew the route's revision, took its peer's copy of the route for one that had missed a deletion, and made it a deletion with a higher version. By anti-entropy the deletion replaced the route on the other VMs, including those that had read it from the store.

Change: completeness has one revision for each kind. A watch response names the range of each kind, an update names the kind, and it holds every object that its sender knows to have changed since the start of its range, also those that a peer had sent before.

The class is a claim about a set of changes that is wider than what the message holds. Heartbeats, copies, lists and the evidence of package primacy were read for it: they state what their sender holds at that moment.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -70,7 +70,7 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	benchEachSize(b, func(b *testing.B, size benchSize) {
 		m, vms, now := benchMachine(b, size)
-		body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1, Complete: 1})
+		body, err := msgpack.Marshal(control.Heartbeat{Incarnation: 1, Complete: control.Completeness{Catalogue: 1, Groups: 1}})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -198,7 +198,7 @@
 func (m *Machine) newHeartbeat() Heartbeat {
 	h := Heartbeat{
 		Incarnation: m.self.incarnation,
-		Complete:    m.completeRevision,
+		Complete:    m.complete,
 		Objects:     m.objects.digest,
 		Members:     m.members.currentDigest(),
 	}
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -11,8 +11,8 @@
 	Self        string            `json:"self"`
 	Incarnation uint64            `json:"incarnation"`
 	Ready       bool              `json:"ready"`
-	Complete    uint64            `json:"complete"`   // every object up to this revision is known
-	CompleteBy  string            `json:"completeBy"` // source of this claim
+	Complete    Completeness      `json:"complete"`
+	CompleteBy  map[string]string `json:"completeBy"` // by kind; source of the completeness
 	InForce     uint64            `json:"inForce"`
 	Watcher     string            `json:"watcher"` // VM that watches the platform's store for this data centre
 	Store       string            `json:"store"`   // "ok" or the last error
@@ -53,7 +53,7 @@
 		Self:        m.cfg.Self.ID,
 		Incarnation: m.self.incarnation,
 		Ready:       m.Ready(),
-		Complete:    m.completeRevision,
+		Complete:    m.complete,
 		CompleteBy:  m.completeFrom,
 		InForce:     m.inForceRevision(),
 		Watcher:     m.ring.watcher,
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -24,6 +24,7 @@
 	*sim
 	databases    int
 	replacements int // number of VMs started as replacements
+	added        int // number of catalogue entries added
 }
 
 func (f *faultSim) pick(t *rapid.T, match func(*node) bool) *node {
@@ -46,6 +47,12 @@
 			e.MaxConcurrent = rapid.IntRange(1, 100).Draw(t, "limit")
 			f.store.put(platform.KindCatalogue, e.Name, e)
 		},
+		"add": func(*rapid.T) {
+			f.added++
+			e := simEntry(0)
+			e.Name = fmt.Sprintf("added%d", f.added)
+			f.store.put(platform.KindCatalogue, e.Name, e)
+		},
 		"delete": func(t *rapid.T) {
 			f.store.delete(platform.KindCatalogue, simEntry(rapid.IntRange(0, f.databases-1).Draw(t, "database")).Name)
 		},
@@ -67,6 +74,7 @@
 			old := f.pick(t, func(n *node) bool { return n.up })
 			f.replace(old)
 		},
+		"lossy":     func(t *rapid.T) { f.lossPercent = rapid.Uint64Range(0, 60).Draw(t, "percent") },
 		"cut":       func(t *rapid.T) { f.partitioned[fmt.Sprintf("dc%d", rapid.IntRange(0, 2).Draw(t, "dc"))] = true },
 		"heal":      func(*rapid.T) { f.partitioned = map[string]bool{} },
 		"storeDown": func(*rapid.T) { f.store.down = true },
@@ -95,7 +103,7 @@
 
 // endFaults ends every fault and restores valid objects.
 func (f *faultSim) endFaults() {
-	f.partitioned = map[string]bool{}
+	f.partitioned, f.lossPercent = map[string]bool{}, 0
 	f.store.down = false
 	for i := range f.databases {
 		f.store.put(platform.KindGroup, simDatabase(i), simGroup(i, 3))
@@ -116,6 +124,7 @@
 func TestFleetConvergesAfterRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &faultSim{sim: newSim(3, rapid.IntRange(1, 4).Draw(t, "vms"), 5, t.Fatalf), databases: 5}
+		f.watchApart = rapid.Bool().Draw(t, "kinds watched apart")
 		f.seeds = []topology.VM{simVM(0, 0), simVM(1, 0), simVM(2, 0)}
 		f.startAll()
 		f.advance(2 * time.Second)
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -27,19 +27,19 @@
 	started bool
 	effects []reducer.Effect
 
-	objects          objectTable
-	completeRevision uint64 // every object up to this store revision is known
-	completeFrom     string // source of this claim, for logs and dumps
-	members          memberTable
-	ring             ring
-	self             selfState
-	timers           timers
-	store            storeState
-	sync             syncState
-	status           statusState
-	snapshot         snapshotState
-	registrations    registrations
-	pickCounter      uint64 // incremented on each use, so that jitter and pickNext vary
+	objects       objectTable
+	complete      Completeness
+	completeFrom  map[string]string // by kind; source of the completeness, for logs and dumps
+	members       memberTable
+	ring          ring
+	self          selfState
+	timers        timers
+	store         storeState
+	sync          syncState
+	status        statusState
+	snapshot      snapshotState
+	registrations registrations
+	pickCounter   uint64 // incremented on each use, so that jitter and pickNext vary
 }
 
 // New returns a machine that starts on the first reducer.Tick.
@@ -48,6 +48,7 @@
 		cfg:           cfg,
 		opts:          cfg.Options,
 		objects:       newObjectTable(),
+		completeFrom:  map[string]string{},
 		members:       newMemberTable(),
 		self:          selfState{incarnation: cfg.Incarnation},
 		sync:          newSyncState(),
@@ -106,7 +107,7 @@
 }
 
 // Ready reports whether the catalogue and the groups are known.
-func (m *Machine) Ready() bool { return m.completeRevision > 0 }
+func (m *Machine) Ready() bool { return m.complete.lowest() > 0 }
 
 // tick runs the periodic work that is due.
 func (m *Machine) tick(now time.Duration) {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
 
@@ -58,7 +59,7 @@
 // piggybacks membership changes.
 type Heartbeat struct {
 	Incarnation uint64          `msgpack:"n"`
-	Complete    uint64          `msgpack:"c,omitempty"` // revision up to which the sender has every object
+	Complete    Completeness    `msgpack:"k"`           // of the sender
 	Objects     uint64          `msgpack:"o,omitempty"` // digest of the platform objects
 	Members     uint64          `msgpack:"m,omitempty"` // digest of the member records
 	Probe       bool            `msgpack:"p,omitempty"` // requests a heartbeat in reply
@@ -79,11 +80,36 @@
 	LastValid        []byte `msgpack:"g,omitempty"`
 }
 
-// ObjectUpdate is the body of method.Objects. A receiver that knows every object up
-// to revision Since knows every object up to Revision after merging the update.
+// Completeness holds, by kind, the revision up to which a VM knows every change; 0 if it
+// knows none. Each kind has a revision of its own, because a message with all changes of
+// one kind may lack those of the other.
+type Completeness struct {
+	Catalogue uint64 `msgpack:"c" json:"catalogue"`
+	Groups    uint64 `msgpack:"g" json:"groups"` // groups, or the registrations from which they are built
+}
+
+// of returns the entry of a kind; nil if the kind has none.
+func (c *Completeness) of(kind string) *uint64 {
+	switch kind {
+	case platform.KindCatalogue:
+		return &c.Catalogue
+	case platform.KindGroup, platform.KindServer:
+		return &c.Groups
+	default:
+		return nil
+	}
+}
+
+// lowest returns the revision up to which every change of every kind is known.
+func (c Completeness) lowest() uint64 { return min(c.Catalogue, c.Groups) }
+
+// ObjectUpdate is the body of method.Objects. A receiver that knows every object of Kind
+// up to revision Since knows every one up to Revision after merging the update. Without a
+// Kind, the update states nothing about other objects than those that it contains.
 type ObjectUpdate struct {
-	Since    uint64         `msgpack:"s"`
-	Revision uint64         `msgpack:"r"`
+	Kind     string         `msgpack:"k,omitempty"`
+	Since    uint64         `msgpack:"f,omitempty"`
+	Revision uint64         `msgpack:"t,omitempty"`
 	Objects  []ObjectRecord `msgpack:"o"`
 }
 
@@ -96,7 +122,7 @@
 
 // FetchReply holds the objects and members that differ from the requester's digests.
 type FetchReply struct {
-	Complete uint64         `msgpack:"c"`
+	Complete Completeness   `msgpack:"k"`
 	Objects  []ObjectRecord `msgpack:"o,omitempty"`
 	Members  []Record       `msgpack:"m,omitempty"`
 }
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -212,6 +212,24 @@
 	return found
 }
 
+// changedSince returns the records of a kind whose version is above a revision, sorted by
+// version.
+func (t *objectTable) changedSince(kind string, revision uint64) []ObjectRecord {
+	var changed []ObjectRecord
+	for key, o := range t.objects {
+		if key.kind == kind && o.record.Version > revision {
+			changed = append(changed, o.record)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool {
+		if changed[i].Version != changed[j].Version {
+			return changed[i].Version < changed[j].Version
+		}
+		return changed[i].Name < changed[j].Name
+	})
+	return changed
+}
+
 // differing returns the records of the buckets whose digests differ from the
 // requester's, in whole buckets up to about maxFetchBytes of values, and whether
 // more buckets differ.
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -111,7 +111,7 @@
 	h.effects = nil
 	server := registration(g, "1", 26, topology.RolePrimary, topology.ServerActive)
 	body, err := msgpack.Marshal(control.ObjectUpdate{
-		Since: 24, Revision: 27, Objects: []control.ObjectRecord{{Kind: server.Kind, Name: server.Name, Version: server.Version, Value: server.Value}},
+		Kind: platform.KindServer, Since: 24, Revision: 27, Objects: []control.ObjectRecord{{Kind: server.Kind, Name: server.Name, Version: server.Version, Value: server.Value}},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	h.post(reducer.PeerMessage{From: "b1", Method: method.Objects, Body: body, Now: h.now})
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -82,6 +82,7 @@
 	ready          bool
 	watch          *control.WatchObjects // watch in flight
 	watchEnd       time.Duration
+	cursors        map[string]uint64 // by kind; revision after which the next watch reports, if kinds are watched apart
 	starts         uint64
 	pausedEvents   []reducer.Event // arrived while paused
 	pendingFetches map[uint64]func(control.FetchReply)
@@ -102,6 +103,8 @@
 	messages    int
 	opts        control.Options
 	seeds       []topology.VM
+	watchApart  bool   // a watch reports the changes of one kind, since a cursor of its own
+	lossPercent uint64 // share of the one-way messages that get lost
 	fail        func(format string, args ...any)
 }
 
@@ -163,7 +166,7 @@
 // start starts or restarts a VM's process, without any earlier state.
 func (s *sim) start(vm topology.VM) *node {
 	old := s.nodes[vm.ID]
-	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, starts: 1}
+	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, cursors: map[string]uint64{}, starts: 1}
 	if old != nil {
 		n.starts = old.starts + 1
 	} else {
@@ -241,13 +244,35 @@
 			s.endWatch(n, control.ObjectsWatched{Err: &platform.UnavailableError{Call: "watch"}})
 			continue
 		}
-		r := s.store.changesSince(n.watch.Since)
+		r := s.changes(n)
 		if len(r.Objects) > 0 || s.now >= n.watchEnd {
 			s.endWatch(n, control.ObjectsWatched{Response: r})
 		}
 	}
 }
 
+// changes returns the changes that the watch of a node reports now.
+func (s *sim) changes(n *node) platform.WatchResponse {
+	if !s.watchApart {
+		return s.store.changesSince(n.watch.Since)
+	}
+	r := platform.WatchResponse{Ranges: map[string]platform.RevisionRange{}}
+	for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+		all := s.store.changesSince(n.cursors[kind])
+		for _, o := range all.Objects {
+			if o.Kind == kind {
+				r.Objects = append(r.Objects, o)
+			}
+		}
+		if len(r.Objects) > 0 || s.now >= n.watchEnd {
+			r.Ranges[kind] = platform.RevisionRange{Since: n.cursors[kind], Revision: all.Revision}
+			n.cursors[kind] = all.Revision
+			break
+		}
+	}
+	return r
+}
+
 func (s *sim) endWatch(n *node, e control.ObjectsWatched) {
 	e.Since = n.watch.Since
 	n.watch = nil
@@ -294,7 +319,11 @@
 		s.handlePublish(n, e)
 	case control.ListObjects:
 		s.storeCall(n, func(err error) reducer.Event {
-			return control.ObjectsListed{Kind: e.Kind, List: s.store.list(e.Kind), Err: err}
+			list := s.store.list(e.Kind)
+			if err == nil {
+				n.cursors[e.Kind] = list.Revision
+			}
+			return control.ObjectsListed{Kind: e.Kind, List: list, Err: err}
 		})
 	case control.ListVMs:
 		s.storeCall(n, func(err error) reducer.Event {
@@ -347,6 +376,9 @@
 
 func (s *sim) send(from *node, to string, e control.Notify) {
 	s.messages++
+	if uint64(s.messages)*2654435761%100 < s.lossPercent {
+		return
+	}
 	s.schedule(simTick/10, func() {
 		target := s.nodes[to]
 		if target == nil || !target.up || !s.reachable(from.vm, target.vm) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -53,7 +53,7 @@
 
 // inForceRevision returns the highest revision up to which every catalogue entry
 // and group is in the snapshot.
-func (m *Machine) inForceRevision() uint64 { return min(m.completeRevision, m.objects.highestVersion) }
+func (m *Machine) inForceRevision() uint64 { return min(m.complete.lowest(), m.objects.highestVersion) }
 
 // sendReport reports the revision in force to the watcher when objects or the
 // watcher changed, and periodically.
@@ -61,7 +61,7 @@
 	if !m.self.announced || m.ring.watcher == "" || m.opts.DisableStatusReports {
 		return
 	}
-	changed := m.status.reportPending && m.completeRevision >= m.objects.highestVersion && !m.snapshot.dirty(true)
+	changed := m.status.reportPending && m.complete.lowest() >= m.objects.highestVersion && !m.snapshot.dirty(true)
 	watcherChanged := m.ring.watcher != m.status.reportedTo
 	if !changed && !watcherChanged && m.now < m.status.reportDue {
 		return
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -59,7 +59,7 @@
 	if m.isWatcher() {
 		wait = m.opts.WatchTimeout
 	}
-	if m.callWhenDue(&m.store.watch, WatchObjects{Since: m.completeRevision, Wait: wait}) {
+	if m.callWhenDue(&m.store.watch, WatchObjects{Since: m.complete.lowest(), Wait: wait}) {
 		m.store.longWatch = wait > 0
 	}
 }
@@ -133,9 +133,9 @@
 		m.store.listedRevisions = make(map[string]uint64)
 	}
 	m.store.listedRevisions[e.Kind] = e.List.Revision
-	m.updateCompleteRevision()
+	m.completeLists()
 	if wasReady && len(changed) <= maxRelayedObjects {
-		m.relayUpdates(changed, 0, 0, sourceStore)
+		m.relayObjects(changed, sourceStore)
 	}
 }
 
@@ -154,8 +154,8 @@
 	return deletions
 }
 
-// updateCompleteRevision raises the complete revision once both kinds were listed.
-func (m *Machine) updateCompleteRevision() {
+// completeLists raises the completeness of both kinds once both were listed.
+func (m *Machine) completeLists() {
 	c, okCatalogue := m.store.listedRevisions[platform.KindCatalogue]
 	g, okGroups := m.store.listedRevisions[m.opts.groupKind()]
 	if !okCatalogue || !okGroups {
@@ -164,7 +164,7 @@
 	if !m.Ready() {
 		m.log("catalogue_from_store", "revision", min(c, g))
 	}
-	m.raiseComplete(max(min(c, g), 1), "list of the store")
+	m.adoptCompleteness(Completeness{Catalogue: max(c, 1), Groups: max(g, 1)}, "list of the store")
 	m.store.relistNeeded = false
 	m.store.listedRevisions = nil
 	m.store.watch.due = m.now
@@ -194,14 +194,28 @@
 	if e.Err != nil {
 		return
 	}
-	since := m.completeRevision
-	watched := toRecords(e.Response.Objects)
-	changed := m.mergeObjects(watched, sourceWatch)
-	if e.Since <= m.completeRevision {
-		m.raiseComplete(e.Response.Revision, fmt.Sprintf("watch since %d", e.Since))
+	for _, kind := range []string{platform.KindCatalogue, m.opts.groupKind()} {
+		m.mergeWatched(kind, e.Response.Range(kind, e.Since), e.Response.Objects)
+	}
+}
+
+// mergeWatched merges the changes of one kind in a range of revisions. The relayed update
+// has every object changed since the revision up to which this VM was complete, also those
+// that a peer had sent already: a receiver may lack them.
+func (m *Machine) mergeWatched(kind string, covered platform.RevisionRange, objects []platform.Object) {
+	var watched []platform.Object
+	for _, o := range objects {
+		if o.Kind == kind {
+			watched = append(watched, o)
+		}
+	}
+	since := m.completeUpTo(kind)
+	changed := m.mergeObjects(toRecords(watched), sourceWatch)
+	if covered.Since <= since {
+		m.raiseComplete(kind, covered.Revision, fmt.Sprintf("watch since %d", covered.Since))
 	}
 	if len(changed) > 0 {
-		m.relayUpdates(m.knownRecords(watched), since, m.completeRevision, sourceWatch)
+		m.relay(ObjectUpdate{Kind: kind, Since: since, Revision: m.completeUpTo(kind), Objects: m.objects.changedSince(kind, since)}, sourceWatch)
 	}
 }
 
@@ -221,5 +235,5 @@
 		return
 	}
 	changed := m.mergeObjects([]ObjectRecord{vmsRecord(e.List)}, sourceStore)
-	m.relayUpdates(changed, 0, 0, sourceStore)
+	m.relayObjects(changed, sourceStore)
 }
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -55,7 +55,7 @@
 		}
 		if isNew && r.Deleted && !received.Deleted {
 			m.log("deletion_inferred", "object", key.String(), "from", from, "version", received.Version,
-				"complete", m.completeRevision, "complete_from", m.completeFrom)
+				"complete", m.completeUpTo(r.Kind), "complete_from", m.completeFrom[r.Kind])
 		}
 		if isNew && o.parseErr != nil {
 			m.alarm("object_invalid", "object", key.String(), "version", r.Version, "in_force", o.inForce, "error", o.parseErr)
@@ -67,22 +67,38 @@
 	return newRecords
 }
 
-// raiseComplete raises the complete revision. from tells where the claim comes from.
-func (m *Machine) raiseComplete(revision uint64, from string) {
-	if revision > m.completeRevision {
-		m.completeRevision, m.completeFrom = revision, from
+// completeUpTo returns the revision up to which every object of a kind is known.
+func (m *Machine) completeUpTo(kind string) uint64 {
+	if revision := m.complete.of(kind); revision != nil {
+		return *revision
 	}
+	return 0
 }
 
-// deletionIfStale converts a peer's record of an unknown object into a deletion if
-// every object up to the record's version is known here: a peer that missed the
+// raiseComplete raises the revision up to which every object of a kind is known. from
+// tells why it is.
+func (m *Machine) raiseComplete(kind string, revision uint64, from string) {
+	if known := m.complete.of(kind); known != nil && revision > *known {
+		*known, m.completeFrom[kind] = revision, from
+	}
+}
+
+// adoptCompleteness raises the completeness of both kinds to that of another VM.
+func (m *Machine) adoptCompleteness(c Completeness, from string) {
+	m.raiseComplete(platform.KindCatalogue, c.Catalogue, from)
+	m.raiseComplete(m.opts.groupKind(), c.Groups, from)
+}
+
+// deletionIfStale converts a peer's record of an unknown object into a deletion if every
+// object of its kind up to the record's version is known here: a peer that missed the
 // deletion must not resurrect the object.
 func (m *Machine) deletionIfStale(r ObjectRecord) ObjectRecord {
 	_, known := m.objects.objects[objectKey{r.Kind, r.Name}]
-	if known || r.Kind == kindVMs || r.Version > m.completeRevision {
+	complete := m.completeUpTo(r.Kind)
+	if known || r.Version > complete {
 		return r
 	}
-	return ObjectRecord{Kind: r.Kind, Name: r.Name, Version: m.completeRevision, Deleted: true}
+	return ObjectRecord{Kind: r.Kind, Name: r.Name, Version: complete, Deleted: true}
 }
 
 // applyInForceChange updates the state that depends on an object's value in force.
@@ -113,14 +129,17 @@
 	}
 }
 
-// relayUpdates relays changed objects: to the VMs of this data centre unless they
-// came from one of them, and to one VM of each other data centre if they came from
-// the store.
-func (m *Machine) relayUpdates(changed []ObjectRecord, since, revision uint64, from string) {
-	if len(changed) == 0 || m.inOwnDataCentre(from) {
+// relayObjects relays changed objects without a range of revisions.
+func (m *Machine) relayObjects(changed []ObjectRecord, from string) {
+	m.relay(ObjectUpdate{Objects: changed}, from)
+}
+
+// relay relays an update: to the VMs of this data centre unless it came from one of them,
+// and to one VM of each other data centre if it came from the store.
+func (m *Machine) relay(message ObjectUpdate, from string) {
+	if len(message.Objects) == 0 || m.inOwnDataCentre(from) {
 		return
 	}
-	message := ObjectUpdate{Since: since, Revision: revision, Objects: changed}
 	m.notify(m.localPeers(), method.Objects, message)
 	if from == sourceStore || from == sourceWatch {
 		m.notify(m.ring.relays, method.Objects, message)
@@ -131,11 +150,12 @@
 func (m *Machine) handleObjectUpdate(from string, update ObjectUpdate) {
 	m.self.lastReceived = m.now
 	changed := m.mergeObjects(update.Objects, from)
-	if m.Ready() && update.Since <= m.completeRevision {
-		m.raiseComplete(update.Revision, fmt.Sprintf("update of %s since %d", from, update.Since))
+	if m.Ready() && update.Since <= m.completeUpTo(update.Kind) {
+		m.raiseComplete(update.Kind, update.Revision, fmt.Sprintf("update of %s since %d", from, update.Since))
 	}
 	if len(changed) > 0 {
-		m.relayUpdates(m.knownRecords(update.Objects), update.Since, update.Revision, from)
+		update.Objects = m.knownRecords(update.Objects)
+		m.relay(update, from)
 	}
 }
 
@@ -157,7 +177,7 @@
 func (m *Machine) handleObjectChanged(e reducer.ObjectChanged) {
 	r := ObjectRecord{Kind: e.Kind, Name: e.Name, Version: e.Version, Deleted: e.Deleted, Value: e.Value}
 	changed := m.mergeObjects([]ObjectRecord{r}, e.From)
-	m.relayUpdates(changed, 0, 0, e.From)
+	m.relayObjects(changed, e.From)
 }
 
 // toRecords converts objects of the store to records.
@@ -170,10 +190,10 @@
 }
 
 // compareDigests records whether a peer's digests differ from the local ones. If the
-// objects are equal, the peer's complete revision applies here as well.
+// objects are equal, the peer's completeness applies here as well.
 func (m *Machine) compareDigests(from string, h Heartbeat) {
 	if h.Objects == m.objects.digest {
-		m.raiseComplete(h.Complete, "digest of "+from)
+		m.adoptCompleteness(h.Complete, "digest of "+from)
 	}
 	if h.Objects == m.objects.digest && h.Members == m.members.currentDigest() {
 		delete(m.sync.differsSince, from)
@@ -317,9 +337,9 @@
 		return
 	}
 	changed := m.mergeObjects(e.Reply.Objects, e.From)
-	if !m.Ready() && e.Reply.Complete > 0 {
-		m.raiseComplete(e.Reply.Complete, "copy of "+e.From)
-		m.log("catalogue_from_peer", "from", e.From, "revision", e.Reply.Complete)
+	if !m.Ready() && e.Reply.Complete.lowest() > 0 {
+		m.adoptCompleteness(e.Reply.Complete, "copy of "+e.From)
+		m.log("catalogue_from_peer", "from", e.From, "revision", e.Reply.Complete.lowest())
 	}
 	for _, r := range e.Reply.Members {
 		m.mergeRecord(r, e.From)
@@ -329,7 +349,7 @@
 		return
 	}
 	if len(changed) <= maxRelayedObjects {
-		m.relayUpdates(changed, 0, 0, e.From)
+		m.relayObjects(changed, e.From)
 	}
 }
 
@@ -344,7 +364,7 @@
 		var more bool
 		reply.Objects, more = m.objects.differing(e.Request.Objects)
 		if !more {
-			reply.Complete = m.completeRevision
+			reply.Complete = m.complete
 		}
 		if e.Request.Members != m.members.currentDigest() {
 			reply.Members = m.members.outgoingRecords()
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -91,7 +91,7 @@
 	for range 50 {
 		response, err := v.store.Watch(context.Background(), 0, time.Second)
 		v.g.Expect(err).NotTo(HaveOccurred())
-		v.step(control.ObjectsWatched{Since: v.machine.Dump().Complete, Response: response})
+		v.step(control.ObjectsWatched{Response: response})
 		if len(response.Objects) > 0 {
 			v.tick(time.Second) // publishes the change
 			return
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -70,6 +70,22 @@
 type WatchResponse struct {
 	Revision uint64   `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// Ranges holds, by kind, the range of revisions whose changes Objects contains, for
+	// stores that watch each kind on its own. If it is nil, the range of every kind is
+	// that from the requested revision to Revision.
+	Ranges map[string]RevisionRange `json:"-"`
+}
+
+// RevisionRange is a range of revisions, without Since and with Revision.
+type RevisionRange struct{ Since, Revision uint64 }
+
+// Range returns the range of a kind's changes in a response to a watch since a revision.
+// It is empty if the response does not cover the kind.
+func (r WatchResponse) Range(kind string, since uint64) RevisionRange {
+	if r.Ranges == nil {
+		return RevisionRange{Since: since, Revision: r.Revision}
+	}
+	return r.Ranges[kind]
 }
 
 // VMList is the platform's list of entry VMs. It may be stale.
