Order configurations by their own version and other objects within the store's epoch

Cause: the store gives its revisions out again after such a return, and VMs took an object with a lower revision than a known one for older. The changed configuration was ignored until revisions had passed their old height. A watch from a revision that the store had given out again went on without an error and missed what changed below it.

The catalogue is ordered by the version of the operator's configuration, since the newest state of the store may be old: the copy's configuration has a lower version than the known one and is ignored. For this, a watch reports the configuration as a whole, and it is compared with what is in force instead of what this VM read before.

Servers' entries, records of primaries and the list of VMs are still taken from the copy as if they were new.

--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -59,7 +59,7 @@
 	objects        map[objectKey]*object
 	buckets        [digestBuckets]uint64 // digests: XOR over the objects' hashes
 	digest         uint64                // XOR over the buckets' hashes
-	highestVersion uint64                // highest version of any object except the list of VMs
+	highestVersion uint64                // highest version of any catalogue entry or group
 	invalidCount   int                   // objects whose newest version is invalid
 }
 
@@ -90,7 +90,7 @@
 	}
 	t.objects[key] = next
 	t.updateInvalidCount(old, next)
-	if r.Kind != kindVMs && r.Version > t.highestVersion {
+	if (r.Kind == platform.KindCatalogue || r.Kind == platform.KindGroup) && r.Version > t.highestVersion {
 		t.highestVersion = r.Version
 	}
 	return true, next.inForce != old.inForce || next.record.Deleted
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"time"
@@ -114,9 +115,10 @@
 }
 
 // handleObjectsListed merges a complete list. Known objects that are absent from it
-// were deleted at its revision or before. An update relayed from a list carries no
-// revision range, because it omits deletions of objects that this VM never knew but
-// the receiver may know.
+// were deleted at its revision or before. A list of a lower revision than that up to which
+// every object is known is outdated: the store may have returned from an older copy. An
+// update relayed from a list carries no revision range, because it omits deletions of
+// objects that this VM never knew but the receiver may know.
 func (m *Machine) handleObjectsListed(e ObjectsListed) {
 	c := &m.store.catalogue
 	if e.Kind == m.opts.groupKind() {
@@ -127,8 +129,13 @@
 		return
 	}
 	wasReady := m.Ready()
-	changed := m.mergeObjects(toRecords(e.List.Objects), sourceStore)
-	changed = append(changed, m.mergeObjects(m.deletionsFromList(e), sourceStore)...)
+	var changed []ObjectRecord
+	if complete := m.completeUpTo(e.Kind); e.List.Revision < complete {
+		m.log("list_outdated", "kind", e.Kind, "revision", e.List.Revision, "complete", complete)
+	} else {
+		changed = m.mergeObjects(toRecords(e.List.Objects), sourceStore)
+		changed = append(changed, m.mergeObjects(m.deletionsFromList(e.Kind, e.List), sourceStore)...)
+	}
 	if m.store.listedRevisions == nil {
 		m.store.listedRevisions = make(map[string]uint64)
 	}
@@ -139,16 +146,17 @@
 	}
 }
 
-// deletionsFromList returns deletion records for known objects absent from a list.
-func (m *Machine) deletionsFromList(e ObjectsListed) []ObjectRecord {
-	present := make(map[string]bool, len(e.List.Objects))
-	for _, o := range e.List.Objects {
+// deletionsFromList returns deletion records for known objects absent from a list of a
+// kind.
+func (m *Machine) deletionsFromList(kind string, list platform.ObjectList) []ObjectRecord {
+	present := make(map[string]bool, len(list.Objects))
+	for _, o := range list.Objects {
 		present[o.Name] = true
 	}
 	var deletions []ObjectRecord
 	for key, o := range m.objects.objects {
-		if key.kind == e.Kind && !present[key.name] && !o.record.Deleted && o.record.Version <= e.List.Revision {
-			deletions = append(deletions, ObjectRecord{Kind: key.kind, Name: key.name, Version: e.List.Revision, Deleted: true})
+		if key.kind == kind && !present[key.name] && !o.record.Deleted && o.record.Version <= list.Revision {
+			deletions = append(deletions, ObjectRecord{Kind: key.kind, Name: key.name, Version: list.Revision, Deleted: true})
 		}
 	}
 	return deletions
@@ -210,8 +218,17 @@
 		}
 	}
 	since := m.completeUpTo(kind)
-	changed := m.mergeObjects(toRecords(watched), sourceWatch)
-	if covered.Since <= since {
+	records := toRecords(watched)
+	if covered.Full {
+		if covered.Revision < since {
+			m.log("list_outdated", "kind", kind, "revision", covered.Revision, "complete", since)
+			return
+		}
+		list := platform.ObjectList{Revision: covered.Revision, Objects: watched}
+		records = append(m.withoutKnownValues(records), m.deletionsFromList(kind, list)...)
+	}
+	changed := m.mergeObjects(records, sourceWatch)
+	if covered.Full || covered.Since <= since {
 		m.raiseComplete(kind, covered.Revision, fmt.Sprintf("watch since %d", covered.Since))
 	}
 	if len(changed) > 0 {
@@ -219,6 +236,19 @@
 	}
 }
 
+// withoutKnownValues returns the records whose value differs from the known one, so that
+// an object which did not change keeps its version.
+func (m *Machine) withoutKnownValues(records []ObjectRecord) []ObjectRecord {
+	var differing []ObjectRecord
+	for _, r := range records {
+		o := m.objects.objects[objectKey{r.Kind, r.Name}]
+		if o == nil || o.record.Deleted || !bytes.Equal(o.record.Value, r.Value) {
+			differing = append(differing, r)
+		}
+	}
+	return differing
+}
+
 // handleVMsListed merges the platform's list of VMs as a replicated object. A list
 // with the same VMs is ignored, and so is an empty list when other VMs are known.
 func (m *Machine) handleVMsListed(e VMsListed) {
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"egretroad/internal/control"
 	"egretroad/internal/eventlog"
 	"egretroad/internal/peer/method"
+	store "egretroad/internal/platform"
 	"egretroad/internal/reducer"
 	"egretroad/internal/standin/metastore"
 	"egretroad/internal/topology"
@@ -100,6 +102,21 @@
 	v.g.Expect("a change").To(BeEmpty(), "the store has reported none")
 }
 
+// relist watches until the store reports that its history is gone, and lists again.
+func (v *controlVM) relist() {
+	for range 5 {
+		response, err := v.store.Watch(context.Background(), 0, time.Second)
+		v.step(control.ObjectsWatched{Response: response, Err: err})
+		var compacted *store.CompactedError
+		if errors.As(err, &compacted) {
+			v.tick(time.Second) // lists
+			v.tick(time.Second) // publishes
+			return
+		}
+	}
+	v.g.Expect("a new list").To(BeEmpty(), "the watch went on")
+}
+
 // fetchFrom copies the objects that differ on another VM.
 func (v *controlVM) fetchFrom(other *controlVM) {
 	other.step(control.FetchRequested{RequestID: 1})
@@ -128,13 +145,33 @@
 	})
 }
 
+// A configuration is compared with what is in force here, which a peer may have sent, and
+// not with the configuration that this VM read before it.
+func TestRouteRemovedByPeerUpdateReturnsWithNextConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	store := newMetastore(t)
+	putServer(store, "s-1")
+	putRoutes(store, 3, "shop", "stock")
+	vm := newControlVMs(g, store, "a1")[0]
+	vm.tick(time.Second)
+	vm.step(reducer.ObjectChanged{Kind: "catalogue", Name: "r-stock", Version: 4, Deleted: true, From: "b1"})
+	vm.tick(time.Second)
+	g.Expect(vm.snapshot.Catalogue.Names()).To(ConsistOf("r-shop"))
+	putRoutes(store, 5, "shop", "stock")
+	vm.watch()
+	g.Expect(vm.snapshot.Catalogue.Names()).To(ConsistOf("r-shop", "r-stock"))
+	for _, o := range vm.machine.Dump().Objects {
+		if o.Object == "catalogue/r-shop" {
+			g.Expect(o.Newest).To(Equal(uint64(3)), "an unchanged route keeps its version")
+		}
+	}
+}
+
 // A route was added and then a server. A VM that received only the second update from its
 // peer took the route for deleted, and so did the other VMs afterwards.
 func TestAddedRouteIsServedAfterLostUpdate(t *testing.T) {
 	g := NewWithT(t)
-	store, err := metastore.New()
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(store.Close)
+	store := newMetastore(t)
 	putRoutes(store, 1, "shop")
 	putServer(store, "s-1")
 	vms := newControlVMs(g, store, "a1", "a2")
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -43,7 +43,9 @@
 const MaxValueBytes = 1 << 20
 
 // Object is a versioned object. Version is the store's revision at the object's
-// last change, so versions are ordered across all objects.
+// last change, so versions are ordered across all objects of a kind. On the users'
+// platform, that of a catalogue entry is the version of the operator's configuration, and
+// all others contain the store's epoch (see MakeVersion).
 type Object struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
@@ -77,7 +79,10 @@
 }
 
 // RevisionRange is a range of revisions, without Since and with Revision.
-type RevisionRange struct{ Since, Revision uint64 }
+type RevisionRange struct {
+	Since, Revision uint64
+	Full            bool // the response has every object of the kind as of Revision, like a list
+}
 
 // Range returns the range of a kind's changes in a response to a watch since a revision.
 // It is empty if the response does not cover the kind.
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -1,14 +1,17 @@
 // Package metastore is a stand-in (an in-process fake that speaks the real protocol)
 // for the users' metadata store, with its published behaviour: a single revision
 // counter, conditional updates, paginated lists and long-poll watches over a bounded
-// history. Tests can make calls fail or lose responses. The Store also serves the
-// failover endpoint and checks the fencing tokens of promotion calls.
+// history. Tests can make calls fail, lose responses, or replace the store by an older
+// copy of itself. The Store also serves the failover endpoint and checks the fencing
+// tokens of promotion calls.
 package metastore
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -53,6 +56,8 @@
 	listener net.Listener
 
 	mu                sync.Mutex // guards the fields below
+	era               uint64     // rises each time the store returns from an older copy
+	noEraHeader       bool
 	revision          uint64
 	kinds             map[string]map[string]Object
 	history           []change
@@ -74,7 +79,7 @@
 		return nil, err
 	}
 	s := &Store{
-		PageSize: 3, listener: listener, revision: 1, kinds: map[string]map[string]Object{},
+		PageSize: 3, listener: listener, era: 1, revision: 1, kinds: map[string]map[string]Object{},
 		changed: make(chan struct{}), refusedIPs: map[string]bool{}, calls: map[string]int{}, fenceTokens: map[string]uint64{},
 	}
 	mux := http.NewServeMux()
@@ -159,6 +164,50 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of the store's objects and history.
+type Copy struct {
+	revision          uint64
+	kinds             map[string]map[string]Object
+	history           []change
+	compactedRevision uint64
+}
+
+// Copy returns a copy of the store as it is now, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, kinds: map[string]map[string]Object{}, history: slices.Clone(s.history), compactedRevision: s.compactedRevision}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Restore replaces the store by an older copy of itself, as after a loss of its data: what
+// it has acknowledged since is gone, and its revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.kinds, s.history, s.compactedRevision = c.revision, c.kinds, c.history, c.compactedRevision
+	s.notifyWatches()
+}
+
+// setEra sets the header that tells in which era of the store a call was executed. mu must
+// be held.
+func (s *Store) setEra(w http.ResponseWriter) {
+	if !s.noEraHeader {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+}
+
+// OmitEra makes the store leave out the header with its era.
+func (s *Store) OmitEra() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noEraHeader = true
+}
+
 // Calls returns the number of calls with an HTTP method on a kind.
 func (s *Store) Calls(method, kind string) int {
 	s.mu.Lock()
@@ -199,6 +248,7 @@
 	}
 	delete(s.kinds[kind], name)
 	s.revision++
+	o.Meta.Revision = s.revision
 	s.history = append(s.history, change{revision: s.revision, kind: kind, object: o, deleted: true})
 	s.notifyWatches()
 }
@@ -236,6 +286,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.setEra(w)
 	var names []string
 	for name := range s.kinds[kind] {
 		if name > query.Get("after") {
@@ -262,7 +313,8 @@
 	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		compacted, changed, revision, status := since < s.compactedRevision, s.changed, s.revision, s.forcedStatus
+		gone, changed, revision, status := since < s.compactedRevision || since > s.revision, s.changed, s.revision, s.forcedStatus
+		s.setEra(w)
 		events := []map[string]any{}
 		for _, e := range s.history {
 			if e.kind == kind && e.revision > since {
@@ -274,7 +326,7 @@
 		case status != 0:
 			w.WriteHeader(status)
 			return
-		case compacted:
+		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
@@ -294,6 +346,7 @@
 
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
+	s.setEra(w)
 	o, found := s.kinds[r.PathValue("kind")][r.PathValue("name")]
 	s.mu.Unlock()
 	if !found {
@@ -326,6 +379,7 @@
 // revision other than 0 also fails with 409 if the object has another revision.
 func (s *Store) writeIf(w http.ResponseWriter, kind, name string, revision uint64, mustExist bool, raw []byte) {
 	s.mu.Lock()
+	s.setEra(w)
 	old, found := s.kinds[kind][name]
 	status, o := http.StatusOK, old
 	switch {
@@ -350,6 +404,7 @@
 func (s *Store) handleDelete(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	kind, name := r.PathValue("kind"), r.PathValue("name")
 	o, found := s.kinds[kind][name]
 	if !found {
