Publish the listed VMs also when their list arrives before the catalogue

What callers could see: a primary that failed or left was not replaced. The VM responsible for the group logged promotion_waits listed=false for as long as no VM joined, left or failed.

Cause: while a VM has no catalogue, it publishes only the known VMs, and cleared the mark that VMs had changed without publishing which of them are listed.

Found in a run of TestOldPrimaryIsToldToStepDown that failed once: the VM logged the line above for 20 s, and its peers' announcements lay before its first catalogue.

--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -29,12 +29,18 @@
 // newHarness returns the machine of VM a1, which knows VMs a2 and b1 and all objects
 // up to a revision.
 func newHarness(revision uint64, servers ...platform.Object) *harness {
+	h := newHarnessWithoutCatalogue()
+	h.listVMs()
+	h.listObjects(revision, servers...)
+	return h
+}
+
+// newHarnessWithoutCatalogue returns the machine of VM a1 as it is after its start.
+func newHarnessWithoutCatalogue() *harness {
 	o := control.DefaultOptions()
 	o.SelfRegistration, o.MaxVMsAllWatching, o.DisableStatusReports = true, 32, true
 	h := &harness{m: control.New(control.Config{Options: o, Self: harnessVM("a1", "a"), Incarnation: 1}), now: time.Hour}
 	h.tick(0)
-	h.listVMs()
-	h.listObjects(revision, servers...)
 	return h
 }
 
@@ -342,6 +348,25 @@
 	g.Expect(listed).To(ConsistOf("a1", "a2", "b1", "c1"))
 }
 
+// The list of VMs arrived before the catalogue, and no VM changed afterwards: the snapshot
+// never named the listed VMs, and this VM promoted nothing.
+func TestVMsListedBeforeCatalogueAreInSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarnessWithoutCatalogue()
+	h.listVMs()
+	h.tick(50 * time.Millisecond)
+	h.listObjects(5, registration(g, "1", 3, topology.RolePrimary, topology.ServerActive))
+	h.tick(50 * time.Millisecond)
+	var snapshot *topology.Snapshot
+	for _, e := range h.effects {
+		if p, ok := e.(control.Publish); ok && p.Ready {
+			snapshot = p.Snapshot
+		}
+	}
+	g.Expect(snapshot).NotTo(BeNil())
+	g.Expect(snapshot.Listed).To(ConsistOf("a1", "a2", "b1"))
+}
+
 // A VM that takes an unknown object for a deleted one logs on which claim that is based.
 func TestInferredDeletionIsLoggedWithItsClaim(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -105,6 +105,7 @@
 	}
 	next := *m.snapshot.current
 	next.VMs = vms
+	next.Listed, next.Dead = m.buildListed()
 	m.snapshot.current = &next
 	m.publishNow()
 }
