Compare values when telling whether two records are of the same write

A server's entry that had changed under an unchanged count was stored, but not put in force. The users' servers raise the count with each heartbeat; the stand-in of their store in the tests does not, and TestDrainingPrimaryIsReplacedWithoutLoss and TestOldPrimaryIsToldToStepDown found it: the primary that was to leave was never replaced.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -94,7 +95,7 @@
 
 // isSameWrite reports whether two records of an object hold the value of the same write.
 func (r ObjectRecord) isSameWrite(o ObjectRecord) bool {
-	return r.IsKnown() && r.WriteOrder == o.WriteOrder && !r.Deleted && !o.Deleted
+	return r.IsKnown() && r.WriteOrder == o.WriteOrder && !r.Deleted && !o.Deleted && bytes.Equal(r.Value, o.Value)
 }
 
 // Completeness holds, by kind, the revision up to which a VM knows every change; 0 if it
