Settle each epoch of the store before its records permit the use of a primary

What callers could see: after the store had returned from an older copy, a VM that knew only the copy used a primary that had been replaced, so writes were acknowledged that the new primary does not have, and reads missed acknowledged commits, on platforms that do not stop an old primary. Fencing tokens, being revisions, went back, and claims conflicted for good, so nothing was promoted.

Cause: a read of the designations in the store counted as proof that no other one exists, and its revisions as an order, although the store may have lost what it had acknowledged.

Change: a claim keeps its epoch, so its token, epoch and revision, stays the same whatever epoch the record is read in, and rises across epochs. Records of a new epoch permit nothing until it is settled: the VM that reads the store for the fleet collects what the others know, writes lost designations again with their tokens, and records the epoch. Meanwhile the statements of the VMs are the evidence, as in an outage of the store. A designation of an earlier epoch is neither acknowledged nor acted on. Evidence names what its sender knows by a digest instead of a revision, which was the same kind of assumption. A process is ready once it may use primaries, or after a second.

The fuzz of the ledger has returns of the store; it fails when reads of an unsettled epoch count, when lost designations are not written again, and when old ones are acted on. TestEvidenceIsIncremental became TestEvidenceOmitsKnownDesignations, and TestTokenIsNotSentWithoutRecentEvidence takes a VM that never had evidence, since a claim needs evidence now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -241,13 +241,15 @@
 	}
 }
 
-// serveCallers accepts callers once control has loaded the catalogue and the servers.
+// serveCallers accepts callers once control has loaded the catalogue and the servers, and
+// this VM may use primaries.
 func (n *Node) serveCallers() {
 	select {
 	case <-n.components.Control.Ready():
 	case <-n.stopping:
 		return
 	}
+	n.awaitEvidence()
 	n.serving.Store(true)
 	n.components.Log.Info("ready")
 	if err := n.components.Sessions.Serve(n.components.Listeners.callers); !n.isStopping() {
@@ -255,6 +257,23 @@
 	}
 }
 
+// evidenceWait is how long a VM that could serve waits for the permission to use primaries.
+// Without it, reads of a stated age can be served.
+const evidenceWait = time.Second
+
+// awaitEvidence waits until this VM may use primaries, at most for evidenceWait.
+func (n *Node) awaitEvidence() {
+	if n.adapters.Promoter == nil {
+		return
+	}
+	select {
+	case <-n.components.Primacy.Confirmed():
+	case <-n.stopping:
+	case <-time.After(evidenceWait):
+		n.components.Log.Warn("primaries_not_confirmed", "waited", evidenceWait)
+	}
+}
+
 // stop shuts down gracefully. The process reports itself not ready at once but keeps
 // serving while other VMs take over its homes (the home of a backend server is the VM that
 // owns the connections to it). Sessions then end between their operations. Transactions
--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,6 +127,35 @@
 	f.expectTokensRise()
 }
 
+// The store returns from a copy that is older than the promotion. The VM that still reaches
+// the old primary reads the copy, but reaches no VM that knows of the promotion.
+func TestOldPrimaryAcknowledgesNothingAfterStoreReturnedFromOlderCopy(t *testing.T) {
+	f := newPartitionedFleet(t)
+	older := f.store.Copy()
+	stop := make(chan struct{})
+	writers := f.runWriters([]int{0, 1, 2}, "shop", stop)
+	time.Sleep(200 * time.Millisecond)
+	f.blockServer("s-a", 0)
+	f.cutOff(0, true)
+	f.g.Eventually(f.group.Primary, "20s", "20ms").ShouldNot(Equal("s-a"))
+	f.store.Restore(older)
+	f.store.RefuseFrom(f.vms[0].settings.Address, false)
+	time.Sleep(time.Second)
+	f.registerServers()
+	c := f.session(1, "shop")
+	f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "10s", "20ms").Should(BeEmpty())
+	time.Sleep(time.Second)
+	f.cutOff(0, false)
+	f.registerServer(zoneOf(f.group.Primary()), "draining") // a planned promotion in the new epoch
+	replaced := f.group.Primary()
+	f.g.Eventually(f.group.Primary, "20s", "20ms").ShouldNot(Equal(replaced))
+	close(stop)
+	f.expectNoneAcknowledgedAfterPromotion(writers())
+	f.expectTokensRise()
+}
+
+func zoneOf(server string) string { return strings.TrimPrefix(server, "s-") }
+
 // Where the VM behind the cut is connected to the others, it makes the old primary step
 // down, and it serves its callers from the new one.
 func TestOldPrimaryIsToldToStepDown(t *testing.T) {
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/primacy"
 	"egretroad/internal/topology"
 )
@@ -37,20 +38,32 @@
 	vms      map[string]*fuzzVM
 	listed   []string
 	store    topology.Designation // the record in the store
+	revision uint64               // of the store
+	epoch    uint64               // rises when the store returns from an older copy
+	settled  uint64               // epoch that is recorded in the store as settled
+	copies   []storeCopy          // states of the store, oldest first
 	primary  string               // the server promoted last
 	writable map[string]bool      // servers that accept writes; a replaced primary does until it steps down
-	promoted bool                 // the designation in the store has led to a promotion
+	promoted map[uint64]bool      // tokens of the designations that have led to a promotion
 	calls    []lateCall           // promotion calls sent and not yet in effect
 }
 
+// storeCopy is a state of the store from which it may return. The epoch that it records as
+// settled is never the next one, so it is left out.
+type storeCopy struct {
+	record   topology.Designation
+	revision uint64
+}
+
 // lateCall is a promotion call that takes effect later.
 type lateCall struct {
 	at     time.Duration
 	server string
+	token  uint64
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Hour, vms: map[string]*fuzzVM{}, primary: "s0", promoted: true, writable: map[string]bool{"s0": true}}
+	w := &world{t: t, now: time.Hour, vms: map[string]*fuzzVM{}, primary: "s0", promoted: map[uint64]bool{0: true}, epoch: 1, settled: 1, writable: map[string]bool{"s0": true}}
 	for i := range rapid.IntRange(1, 5).Draw(t, "vms") {
 		id := fmt.Sprint("vm", i)
 		w.vms[id] = &fuzzVM{ledger: primacy.NewLedger()}
@@ -72,27 +85,78 @@
 	if w.store.Token != 0 {
 		vm.ledger.Merge(map[string]topology.Designation{"orders": w.store})
 	}
-	vm.ledger.ConfirmRevision(w.store.Token)
+	vm.ledger.ConfirmEpoch(w.epoch)
+	if w.settled != w.epoch {
+		return
+	}
+	vm.ledger.ConfirmSettled(w.epoch)
+	w.restoreLost(id)
 	vm.ledger.ConfirmFull(w.now)
 }
 
+// restoreLost writes the VM's designation of an earlier epoch again if the store lacks it.
+func (w *world) restoreLost(id string) {
+	d := w.vms[id].ledger.Designation("orders")
+	if platform.EpochOf(d.Token) < w.epoch && d.Supersedes(w.store) {
+		w.write(d)
+	}
+}
+
+func (w *world) write(d topology.Designation) {
+	w.copies = append(w.copies, storeCopy{w.store, w.revision})
+	w.store = d
+	w.revision++
+}
+
+// restore makes the store return from an older copy. All VMs have had evidence before: one
+// that had none may have forgotten a designation that it acknowledged.
+func (w *world) restore(age int) {
+	for _, vm := range w.vms {
+		if vm.ledger.ValidUntil() == 0 {
+			return
+		}
+	}
+	if w.settled != w.epoch || age >= len(w.copies) {
+		return
+	}
+	c := w.copies[len(w.copies)-1-age]
+	w.store, w.revision = c.record, c.revision
+	w.epoch++
+	w.copies = nil
+}
+
+// settle settles the epoch if enough VMs state what they know.
+func (w *world) settle(id string) {
+	if w.vms[id].noStore || w.settled == w.epoch {
+		return
+	}
+	w.readStore(id)
+	stated, responded := w.askAll(id)
+	if primacy.MaySettle(w.listed, stated, responded, 0) {
+		w.restoreLost(id)
+		w.settled = w.epoch
+	}
+}
+
 // askOne takes the evidence of another VM over, with a network delay.
 func (w *world) askOne(id, from string, delay time.Duration) {
 	if !w.reaches(id, from) {
 		return
 	}
-	w.vms[id].ledger.Adopt(w.vms[from].ledger.Evidence(w.now, w.vms[id].ledger.Revision()), w.now-delay)
+	w.vms[id].ledger.Adopt(w.vms[from].ledger.Evidence(w.now, w.vms[id].ledger.Digest()), w.now-delay)
 }
 
-func (w *world) askAll(id string) {
-	stated := map[string]bool{id: w.vms[id].ledger.ValidUntil() != 0}
+func (w *world) askAll(id string) (stated, responded map[string]bool) {
+	stated = map[string]bool{id: w.vms[id].ledger.ValidUntil() != 0}
+	responded = map[string]bool{id: true}
 	for _, other := range w.listed {
 		if other == id || !w.reaches(id, other) {
 			continue
 		}
-		e := w.vms[other].ledger.Evidence(w.now, w.vms[id].ledger.Revision())
+		w.vms[other].ledger.ConfirmEpoch(w.vms[id].ledger.Epoch())
+		e := w.vms[other].ledger.Evidence(w.now, w.vms[id].ledger.Digest())
 		w.vms[id].ledger.Adopt(e, w.now)
-		stated[other] = e.HasFull
+		stated[other], responded[other] = e.HasFull, true
 	}
 	switch primacy.Cover(w.listed, stated) {
 	case primacy.CoverageFull:
@@ -100,6 +164,7 @@
 	case primacy.CoveragePartial:
 		w.vms[id].ledger.ConfirmPartial(w.now)
 	}
+	return stated, responded
 }
 
 // claim commits a claim to the store. A server that accepts writes steps down before it is
@@ -107,15 +172,14 @@
 // designated again.
 func (w *world) claim(id, server string, responseDelay time.Duration) {
 	vm := w.vms[id]
-	if vm.noStore || vm.attempt != nil || vm.ledger.Designation("orders").Token != w.store.Token {
+	if vm.noStore || vm.attempt != nil || vm.ledger.Designation("orders").Token != w.store.Token || w.settled != w.epoch {
 		return
 	}
-	if !w.promoted {
+	if !w.promoted[w.store.Token] {
 		server = w.store.Server
 	}
-	w.promoted = false
 	w.writable[server] = false
-	w.store = topology.Designation{Server: server, Holder: id, Token: w.store.Token + 1}
+	w.write(topology.Designation{Server: server, Holder: id, Token: platform.MakeVersion(w.epoch, w.revision+1)})
 	vm.attempt = &fuzzAttempt{designation: w.store, recordAt: w.now + responseDelay}
 }
 
@@ -136,16 +200,21 @@
 			continue
 		}
 		w.vms[other].ledger.Merge(record)
+		if epoch := w.vms[other].ledger.Epoch(); platform.EpochOf(a.designation.Token) < epoch {
+			vm.ledger.ConfirmEpoch(epoch)
+			continue
+		}
 		a.acked[other] = true
 		if safeAt := w.now + primacy.PromotionWait(w.listed, a.acked); a.safeAt == 0 || safeAt < a.safeAt {
 			a.safeAt = safeAt
 		}
 	}
 	switch {
-	case vm.ledger.Designation("orders").Token != a.designation.Token:
+	case vm.ledger.Designation("orders").Token != a.designation.Token,
+		platform.EpochOf(a.designation.Token) < vm.ledger.Epoch():
 		vm.attempt = nil // superseded
 	case w.now >= a.safeAt && vm.ledger.Check("orders", a.designation.Server, w.now) == nil:
-		w.calls = append(w.calls, lateCall{at: w.now + callDelay, server: a.designation.Server})
+		w.calls = append(w.calls, lateCall{at: w.now + callDelay, server: a.designation.Server, token: a.designation.Token})
 		vm.attempt = nil
 	}
 }
@@ -156,7 +225,7 @@
 	w.now += d
 	for _, c := range w.calls {
 		if c.at <= w.now {
-			w.primary, w.promoted, w.writable[c.server] = c.server, true, true
+			w.primary, w.promoted[c.token], w.writable[c.server] = c.server, true, true
 			w.calls = nil
 			return
 		}
@@ -178,8 +247,10 @@
 	}
 }
 
-// For any order of cuts, outages of the store, restarts, delays and promotions, no VM may
-// use a server that another one has replaced.
+// For any order of cuts, outages of the store, returns from an older copy, restarts, delays
+// and promotions, no VM may use a server that another one has replaced. Restarts between a
+// return and the settlement of its epoch are left out: if every VM that acknowledged a
+// designation restarts there, nobody knows it.
 func TestAtMostOneServerIsUsable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -192,7 +263,7 @@
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			id := vm.Draw(t, "vm")
-			switch rapid.IntRange(0, 16).Draw(t, "step") {
+			switch rapid.IntRange(0, 19).Draw(t, "step") {
 			case 0, 10, 11:
 				w.advance(ms(1500, "long"))
 			case 1, 2:
@@ -211,7 +282,13 @@
 				w.vms[id].partition = rapid.IntRange(0, 1).Draw(t, "partition")
 				w.vms[id].noStore = rapid.Bool().Draw(t, "no store")
 			case 9: // the VM restarts
-				w.vms[id].ledger, w.vms[id].attempt = primacy.NewLedger(), nil
+				if w.settled == w.epoch {
+					w.vms[id].ledger, w.vms[id].attempt = primacy.NewLedger(), nil
+				}
+			case 17:
+				w.restore(rapid.IntRange(0, 2).Draw(t, "age"))
+			case 18, 19:
+				w.settle(id)
 			}
 			w.check()
 		}
--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"egretroad/internal/topology"
 )
 
@@ -35,9 +37,12 @@
 // Evidence states which designations are known, and as of when. Times are ages, so that
 // the evidence can be passed between VMs.
 type Evidence struct {
-	// Designations are those with a token above the one that was asked for, by database.
+	// Designations are all that the sender knows, by database; none if the requester knows
+	// the same ones.
 	Designations map[string]topology.Designation `msgpack:"d,omitempty"`
-	Revision     uint64                          `msgpack:"r"` // the sender knows every designation with a token up to this one
+	Digest       uint64                          `msgpack:"g"`           // of all designations that the sender knows
+	Epoch        uint64                          `msgpack:"e,omitempty"` // latest epoch of the store that the sender knows
+	Settled      uint64                          `msgpack:"s,omitempty"` // latest settled epoch that the sender knows
 	HasFull      bool                            `msgpack:"f"`
 	FullAge      time.Duration                   `msgpack:"a"` // since the last full evidence, if HasFull
 	PartialAge   time.Duration                   `msgpack:"p"` // since the last evidence of either kind, if HasFull
@@ -49,7 +54,9 @@
 type Ledger struct {
 	mu           sync.Mutex // guards the fields below
 	designations map[string]topology.Designation
-	revision     uint64 // every designation with a token up to this one has been merged
+	digest       uint64 // XOR over the designations' hashes
+	epoch        uint64 // latest known epoch of the store
+	settled      uint64 // latest known epoch that is settled
 	hasFull      bool
 	fullAt       time.Duration // as of when all designations were known
 	partialAt    time.Duration // as of when at least half of the VMs knew no newer ones
@@ -67,6 +74,7 @@
 		if !d.Supersedes(l.designations[database]) {
 			continue
 		}
+		l.digest ^= hashDesignation(database, l.designations[database]) ^ hashDesignation(database, d)
 		l.designations[database] = d
 		if added == nil {
 			added = map[string]topology.Designation{}
@@ -76,6 +84,14 @@
 	return added
 }
 
+// hashDesignation returns the hash of a group's designation; 0 if there is none.
+func hashDesignation(database string, d topology.Designation) uint64 {
+	if d == (topology.Designation{}) {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%d", database, d.Server, d.Holder, d.Token))
+}
+
 // ConfirmFull records that every designation made before asOf has been merged.
 func (l *Ledger) ConfirmFull(asOf time.Duration) {
 	l.mu.Lock()
@@ -94,27 +110,52 @@
 	l.partialAt = max(l.partialAt, asOf)
 }
 
-// ConfirmRevision records that every designation with a token up to revision has been
-// merged.
-func (l *Ledger) ConfirmRevision(revision uint64) {
+// ConfirmEpoch records that the store has been in an epoch. A designation of an earlier
+// one must not be acted on any more: the store may have lost it.
+func (l *Ledger) ConfirmEpoch(epoch uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision = max(l.revision, revision)
+	l.epoch = max(l.epoch, epoch)
 }
 
-// Revision returns the token up to which this VM knows every designation.
-func (l *Ledger) Revision() uint64 {
+// ConfirmSettled records that an epoch of the store is settled: the store has every
+// designation that may be in force.
+func (l *Ledger) ConfirmSettled(epoch uint64) (isNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision
+	isNew = epoch > l.settled
+	l.epoch, l.settled = max(l.epoch, epoch), max(l.settled, epoch)
+	return isNew
+}
+
+// Settled reports whether an epoch is settled. A store without epochs, which is always in
+// epoch 0, loses nothing.
+func (l *Ledger) Settled(epoch uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return epoch <= l.settled
+}
+
+// Epoch returns the latest known epoch of the store.
+func (l *Ledger) Epoch() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
+// Digest returns the digest of the designations.
+func (l *Ledger) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest
 }
 
 // Adopt merges evidence that another VM sent in response to a request that left this VM
-// at sentAt, for the designations above this ledger's revision. It returns the
-// designations that were new.
+// at sentAt. It returns the designations that were new.
 func (l *Ledger) Adopt(e Evidence, sentAt time.Duration) map[string]topology.Designation {
 	added := l.Merge(e.Designations)
-	l.ConfirmRevision(e.Revision)
+	l.ConfirmEpoch(e.Epoch)
+	l.ConfirmSettled(e.Settled)
 	if e.HasFull && e.FullAge >= 0 && e.PartialAge >= 0 {
 		l.ConfirmFull(sentAt - e.FullAge)
 		l.ConfirmPartial(sentAt - e.PartialAge)
@@ -122,16 +163,23 @@
 	return added
 }
 
-// Evidence returns the evidence of this VM as of now, with the designations whose token
-// is above since.
-func (l *Ledger) Evidence(now time.Duration, since uint64) Evidence {
+// Evidence returns the evidence of this VM as of now, for a requester that knows the
+// designations with the given digest.
+func (l *Ledger) Evidence(now time.Duration, known uint64) Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	newer := maps.Clone(l.designations)
-	maps.DeleteFunc(newer, func(_ string, d topology.Designation) bool { return d.Token <= since })
-	return Evidence{
-		Designations: newer, Revision: l.revision, HasFull: l.hasFull, FullAge: now - l.fullAt, PartialAge: now - l.partialAt,
+	e := Evidence{Digest: l.digest, Epoch: l.epoch, Settled: l.settled, HasFull: l.hasFull, FullAge: now - l.fullAt, PartialAge: now - l.partialAt}
+	if known != l.digest {
+		e.Designations = maps.Clone(l.designations)
 	}
+	return e
+}
+
+// Designations returns the newest known designation of each group.
+func (l *Ledger) Designations() map[string]topology.Designation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.designations)
 }
 
 // Designation returns the newest known designation of a group; zero if there is none.
--- a/internal/primacy/primacy_test.go
+++ b/internal/primacy/primacy_test.go
@@ -75,7 +75,7 @@
 	a, b := primacy.NewLedger(), primacy.NewLedger()
 	a.Merge(designate("s2", 5))
 	a.ConfirmFull(10 * time.Second)
-	e := a.Evidence(10*time.Second+300*time.Millisecond, b.Revision())
+	e := a.Evidence(10*time.Second+300*time.Millisecond, b.Digest())
 	b.Adopt(e, time.Hour)
 	g.Expect(b.ValidUntil()).To(Equal(time.Hour - 300*time.Millisecond + primacy.Validity))
 	g.Expect(b.Designation("orders").Server).To(Equal("s2"))
@@ -128,21 +128,43 @@
 	g.Expect(primacy.Source("b1", vms, none)).To(Equal("a2"))
 }
 
-// Evidence carries only what the other VM does not know yet. A designation that a VM has
-// learned out of order does not hide an older one.
-func TestEvidenceIsIncremental(t *testing.T) {
+// Evidence carries designations only for a VM that does not know the same ones. One that a
+// VM has learned out of order does not hide an older one.
+func TestEvidenceOmitsKnownDesignations(t *testing.T) {
 	g := NewWithT(t)
 	a, b := primacy.NewLedger(), primacy.NewLedger()
 	for database, token := range map[string]uint64{"orders": 5, "stock": 7, "grants": 9} {
 		a.Merge(map[string]topology.Designation{database: {Server: database, Token: token}})
 	}
-	a.ConfirmRevision(9)
 	a.ConfirmFull(0)
 	b.Merge(map[string]topology.Designation{"grants": {Server: "grants", Token: 9}})
-	b.ConfirmRevision(5)
-	e := a.Evidence(0, b.Revision())
-	g.Expect(e.Designations).To(HaveLen(2))
-	b.Adopt(e, 0)
+	b.Adopt(a.Evidence(0, b.Digest()), 0)
+	g.Expect(b.Designation("orders").Token).To(Equal(uint64(5)))
 	g.Expect(b.Designation("stock").Token).To(Equal(uint64(7)))
-	g.Expect(a.Evidence(0, b.Revision()).Designations).To(BeEmpty())
+	g.Expect(b.Digest()).To(Equal(a.Digest()))
+	g.Expect(a.Evidence(0, b.Digest()).Designations).To(BeEmpty())
+	b.Merge(map[string]topology.Designation{"stock": {Server: "other", Token: 11}})
+	g.Expect(a.Evidence(0, b.Digest()).Designations).To(HaveLen(3))
+}
+
+// An epoch is settled once more than half of the VMs, or all that are listed, have stated
+// what they know; after a while with fewer.
+func TestSettlementNeedsStatements(t *testing.T) {
+	g := NewWithT(t)
+	listed := []string{"a", "b", "c", "d"}
+	set := func(ids ...string) map[string]bool {
+		s := map[string]bool{}
+		for _, id := range ids {
+			s[id] = true
+		}
+		return s
+	}
+	g.Expect(primacy.MaySettle(nil, set("a"), set("a"), time.Hour)).To(BeFalse(), "the list of VMs is unknown")
+	g.Expect(primacy.MaySettle(listed, set("a", "b", "c"), set("a", "b", "c"), 0)).To(BeTrue())
+	g.Expect(primacy.MaySettle(listed, set("a", "b"), set("a", "b", "c"), 0)).To(BeFalse())
+	g.Expect(primacy.MaySettle(listed, set("a", "b"), set("a", "b", "c"), primacy.SettleWait)).To(BeTrue())
+	g.Expect(primacy.MaySettle(listed, set(), set("a", "b", "c", "d"), 0)).To(BeTrue(), "all VMs have started since")
+	g.Expect(primacy.MaySettle(listed, set("a", "b"), set("a", "b"), primacy.SettleWait)).To(BeFalse())
+	g.Expect(primacy.MaySettle(listed, set("x", "y", "z"), set("x", "y", "z"), primacy.SettleWait)).To(BeFalse(), "VMs outside the list count for nothing")
+	g.Expect(primacy.MaySettle(listed, set(), set("a"), primacy.SettleWait+primacy.RevocationWait+primacy.MinorityWait)).To(BeTrue())
 }
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -29,6 +29,8 @@
 const (
 	// refreshInterval is the time between two refreshes of the evidence.
 	refreshInterval = 250 * time.Millisecond
+	// startInterval is that time while there has been no evidence since the start.
+	startInterval = 50 * time.Millisecond
 	// sourceMaxAge is the age up to which a source passes its evidence on without
 	// refreshing it first.
 	sourceMaxAge = 260 * time.Millisecond
@@ -74,30 +76,36 @@
 	denials   *prometheus.CounterVec
 	shared    coalesce.Group[int, struct{}] // refreshes by number of hops
 	learned   func(database string, d topology.Designation)
+	confirmed chan struct{} // closed after the first evidence
 
 	mu           sync.Mutex // guards the fields below
 	avoidedUntil map[string]time.Duration
 	storeFailing bool
-	lapsed       bool // the evidence had expired at the last refresh
+	lapsed       bool       // the evidence had expired at the last refresh
+	unsettled    storeState // the last read of an epoch that is not settled
 }
 
 // request is the request of method.Designations.
 type request struct {
 	Hops   int           `msgpack:"h"` // VMs between the requester and the store so far
-	Since  uint64        `msgpack:"s"` // token up to which the requester knows every designation
+	Known  uint64        `msgpack:"k"` // digest of the designations that the requester knows
+	Epoch  uint64        `msgpack:"e"` // latest epoch of the store that the requester knows
 	MaxAge time.Duration `msgpack:"a"` // older evidence is refreshed first; 0: never
 }
 
 // New returns a refresher and registers its peer method.
 func New(d Deps) *Refresher {
 	r := &Refresher{
-		deps: d, ledger: primacy.NewLedger(), avoidedUntil: map[string]time.Duration{}, learned: func(string, topology.Designation) {},
+		deps: d, ledger: primacy.NewLedger(), avoidedUntil: map[string]time.Duration{}, confirmed: make(chan struct{}), learned: func(string, topology.Designation) {},
 		refreshes: d.Metrics.Counter("primacy_refreshes_total", "Refreshes of the evidence that permits the use of primaries.", "source", "result"),
 		denials:   d.Metrics.Counter("primacy_denials_total", "Statements that were not permitted to use a primary.", "reason"),
 	}
 	d.Metrics.Gauge("primacy_valid_seconds", "Time until the permission to use primaries expires.", func() float64 {
 		return (r.ledger.ValidUntil() - clock.Boottime()).Seconds()
 	})
+	d.Metrics.Gauge("primacy_store_epoch", "Latest known epoch of the store; it rises when the store returns from an older copy.", func() float64 {
+		return float64(r.ledger.Epoch())
+	})
 	d.Peers.Handle(method.Designations, r.serve)
 	return r
 }
@@ -123,11 +131,17 @@
 
 // Run refreshes the evidence until ctx ends.
 func (r *Refresher) Run(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
+	ticker := time.NewTicker(startInterval)
 	defer ticker.Stop()
+	starting := true
 	for {
 		r.refreshShared(ctx, 0)
 		r.logLapse()
+		if starting && r.ledger.ValidUntil() != 0 {
+			starting = false
+			close(r.confirmed)
+			ticker.Reset(refreshInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -136,6 +150,9 @@
 	}
 }
 
+// Confirmed returns a channel that is closed once this VM has had evidence.
+func (r *Refresher) Confirmed() <-chan struct{} { return r.confirmed }
+
 // logLapse logs when the evidence expires and when it is valid again.
 func (r *Refresher) logLapse() {
 	now := clock.Boottime()
@@ -147,7 +164,7 @@
 	if !changed {
 		return
 	}
-	e := r.ledger.Evidence(now, r.ledger.Revision())
+	e := r.ledger.Evidence(now, r.ledger.Digest())
 	r.deps.Log.Warn("primary_use_permitted", "permitted", !lapsed, "confirmed", e.HasFull, "full_age", e.FullAge, "partial_age", e.PartialAge)
 }
 
@@ -205,7 +222,11 @@
 func (r *Refresher) askSource(source string, hops int) bool {
 	answered := make(chan bool, 1)
 	go func() {
-		ok := r.ask(context.Background(), source, request{Hops: hops + 1, MaxAge: sourceMaxAge}, sourceTimeout) && r.valid()
+		e, err := r.ask(context.Background(), source, request{Hops: hops + 1, MaxAge: sourceMaxAge}, sourceTimeout)
+		ok := err == nil && e.HasFull && r.valid()
+		if ok && e.Digest != r.ledger.Digest() {
+			r.readStore() // writes again what the store may have lost and the source does not know
+		}
 		if ok {
 			r.refreshes.WithLabelValues("vm", "ok").Inc()
 		} else {
@@ -245,18 +266,18 @@
 }
 
 // ask requests the evidence of one VM and adopts it.
-func (r *Refresher) ask(ctx context.Context, vm string, q request, timeout time.Duration) bool {
+func (r *Refresher) ask(ctx context.Context, vm string, q request, timeout time.Duration) (primacy.Evidence, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var e primacy.Evidence
-	q.Since = r.ledger.Revision()
+	q.Known, q.Epoch = r.ledger.Digest(), r.ledger.Epoch()
 	sentAt := clock.Boottime()
 	if err := peer.CallMsgpack(ctx, r.deps.Peers, vm, method.Designations, &q, &e); err != nil {
 		r.deps.Log.Debug("designations_not_received", "vm", vm, "error", err)
-		return false
+		return primacy.Evidence{}, err
 	}
 	r.announce(r.ledger.Adopt(e, sentAt), vm)
-	return e.HasFull
+	return e, nil
 }
 
 // serve answers a request for this VM's evidence.
@@ -265,10 +286,11 @@
 	if err := peer.DecodeBody(body, &q); err != nil {
 		return nil, err
 	}
-	e := r.ledger.Evidence(clock.Boottime(), q.Since)
+	r.ledger.ConfirmEpoch(q.Epoch)
+	e := r.ledger.Evidence(clock.Boottime(), q.Known)
 	if q.MaxAge > 0 && (!e.HasFull || e.PartialAge > q.MaxAge) {
 		r.refreshShared(ctx, min(max(q.Hops, 1), maxHops))
-		e = r.ledger.Evidence(clock.Boottime(), q.Since)
+		e = r.ledger.Evidence(clock.Boottime(), q.Known)
 	}
 	return msgpack.Marshal(&e)
 }
@@ -279,14 +301,19 @@
 	go func() { read <- r.readStore() }()
 	headStart := time.NewTimer(storeHeadStart)
 	defer headStart.Stop()
+	reading := true
 	select {
 	case ok := <-read:
 		if ok {
 			return
 		}
+		reading = false
 	case <-headStart.C:
 	}
-	if r.askAll(snapshot) {
+	if r.leavesSettlementToOthers(snapshot) {
+		return
+	}
+	if r.askAll(snapshot) || !reading {
 		return
 	}
 	select {
@@ -295,32 +322,58 @@
 	}
 }
 
-// readStore reads all designations from the store, which is full evidence.
+// readStore reads all designations from the store. They are full evidence if the store's
+// epoch is settled.
 func (r *Refresher) readStore() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	sentAt := clock.Boottime()
-	list, err := r.deps.Store.List(ctx, platform.KindDuty)
+	state, err := r.listDesignations(ctx)
+	if err == nil && !r.ledger.Settled(state.epoch) {
+		// The list may be older than the settlement.
+		if err = r.readSettledEpoch(ctx, &state); err == nil && r.ledger.Settled(state.epoch) {
+			sentAt = clock.Boottime()
+			state, err = r.listDesignations(ctx)
+		}
+	}
 	r.recordStoreResult(err)
-	if err != nil {
+	switch {
+	case err != nil:
 		r.refreshes.WithLabelValues("store", "failed").Inc()
+		r.suspendSettlement()
+		return false
+	case !r.ledger.Settled(state.epoch):
+		r.refreshes.WithLabelValues("store", "unsettled").Inc()
+		r.recordUnsettled(state)
 		return false
 	}
-	designations := make(map[string]topology.Designation, len(list.Objects))
+	r.restoreLost(ctx, state)
+	r.ledger.ConfirmFull(sentAt)
+	r.refreshes.WithLabelValues("store", "ok").Inc()
+	return true
+}
+
+// listDesignations reads and merges the designations in the store.
+func (r *Refresher) listDesignations(ctx context.Context) (storeState, error) {
+	list, err := r.deps.Store.List(ctx, platform.KindDuty)
+	if err != nil {
+		return storeState{}, err
+	}
+	state := storeState{
+		epoch: platform.EpochOf(list.Revision), versions: map[string]uint64{}, designations: map[string]topology.Designation{},
+	}
 	for _, o := range list.Objects {
 		var duty promotion.Duty
 		if err := json.Unmarshal(o.Value, &duty); err != nil {
 			// The record may designate any server, so it cannot confirm the use of one.
 			r.deps.Log.Error("duty_unreadable", "database", o.Name, "version", o.Version, "error", err)
-			return false
+			return storeState{}, err
 		}
-		designations[o.Name] = duty.Designation(o.Version)
+		state.versions[o.Name], state.designations[o.Name] = o.Version, duty.Designation(o.Version)
 	}
-	r.announce(r.ledger.Merge(designations), "store")
-	r.ledger.ConfirmRevision(list.Revision)
-	r.ledger.ConfirmFull(sentAt)
-	r.refreshes.WithLabelValues("store", "ok").Inc()
-	return true
+	r.announce(r.ledger.Merge(state.designations), "store")
+	r.ledger.ConfirmEpoch(state.epoch)
+	return state, nil
 }
 
 // recordStoreResult logs when the store stops or resumes responding.
@@ -338,8 +391,8 @@
 // to valid evidence.
 func (r *Refresher) askAll(snapshot *topology.Snapshot) bool {
 	type answer struct {
-		vm     string
-		stated bool
+		vm                string
+		responded, stated bool
 	}
 	sentAt := clock.Boottime()
 	answers := make(chan answer, len(snapshot.Listed))
@@ -349,16 +402,18 @@
 			continue
 		}
 		asked++
-		go func() { answers <- answer{vm, r.ask(context.Background(), vm, request{}, statementTimeout)} }()
+		go func() {
+			e, err := r.ask(context.Background(), vm, request{}, statementTimeout)
+			answers <- answer{vm: vm, responded: err == nil, stated: e.HasFull}
+		}()
 	}
-	stated := map[string]bool{}
+	// This VM counts once it has known all designations at some time since its start.
+	stated := map[string]bool{r.deps.Self: r.ledger.ValidUntil() != 0}
+	responded := map[string]bool{r.deps.Self: true}
 	for range asked {
-		if a := <-answers; a.stated {
-			stated[a.vm] = true
-		}
+		a := <-answers
+		stated[a.vm], responded[a.vm] = a.stated, a.responded
 	}
-	// This VM counts once it has known all designations at some time since its start.
-	stated[r.deps.Self] = r.ledger.ValidUntil() != 0
 	coverage := primacy.Cover(snapshot.Listed, stated)
 	switch coverage {
 	case primacy.CoverageFull:
@@ -371,5 +426,8 @@
 		result = "ok"
 	}
 	r.refreshes.WithLabelValues("all_vms", result).Inc()
+	if r.settle(snapshot.Listed, stated, responded) {
+		return r.readStore()
+	}
 	return r.valid()
 }
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"time"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
 
@@ -57,11 +58,21 @@
 	Holder      string `json:"holder"` // VM
 	Incarnation uint64 `json:"start"`  // incarnation of the VM
 	Claim       uint64 `json:"claim"`  // number of the claim within the incarnation
+	Epoch       uint64 `json:"epoch"`  // of the store, in which the claim was made
+	// Token is the token of a designation that was written again because the store had lost
+	// it; 0 in a claim, whose token is its version.
+	Token uint64 `json:"token,omitempty"`
 }
 
-// Designation returns the designation that a duty with the given version records.
+// Designation returns the designation that a duty with the given version records. Its
+// epoch is that of the claim: a record that the store has kept from an earlier epoch has a
+// version of the epoch in which it is read.
 func (d Duty) Designation(version uint64) topology.Designation {
-	return topology.Designation{Server: d.Server, Holder: d.Holder, Token: version}
+	token := d.Token
+	if token == 0 {
+		token = platform.MakeVersion(d.Epoch, platform.RevisionOf(version))
+	}
+	return topology.Designation{Server: d.Server, Holder: d.Holder, Token: token}
 }
 
 // SupersededError reports a promotion that was given up because another VM has made a
--- a/internal/promotion/run/claim.go
+++ b/internal/promotion/run/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -12,79 +13,113 @@
 	"egretroad/internal/platform"
 	"egretroad/internal/promotion"
 	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
 )
 
 // claimRequest is the request of method.Claim: a conditional write of a group's duty.
 type claimRequest struct {
-	Database  string `msgpack:"d"`
-	IfVersion uint64 `msgpack:"v"` // 0: unknown, it is read first
-	Value     []byte `msgpack:"b"` // JSON of promotion.Duty
+	Database string         `msgpack:"d"`
+	Known    uint64         `msgpack:"t"` // token of the newest designation that the requester knows
+	Duty     promotion.Duty `msgpack:"y"`
 }
 
 // claimResponse is the response of method.Claim.
 type claimResponse struct {
-	Version uint64 `msgpack:"v"` // of the claim; 0: it was not written
-	Detail  string `msgpack:"d,omitempty"`
+	Token  uint64 `msgpack:"v"` // of the claim; 0: it was not written
+	Detail string `msgpack:"d,omitempty"`
+}
+
+// OtherEpochError reports a claim that the store has executed in another epoch than that
+// for which it was made.
+type OtherEpochError struct {
+	Database  string
+	Want, Got uint64
+}
+
+func (e *OtherEpochError) Error() string {
+	return fmt.Sprintf("claim for %s was made in epoch %d of the store and executed in epoch %d", e.Database, e.Want, e.Got)
 }
 
 // claimDuty writes a claim, through another VM if this one cannot reach the store. A
 // claim that conflicts with a newer one fails, and the newer designation is recorded.
 func (x *Executor) claimDuty(ctx context.Context, e promotion.ClaimDuty) reducer.Event {
+	epoch, err := x.deps.Primacy.SettledEpoch(ctx)
+	if err != nil {
+		return promotion.ClaimResult{Database: e.Database, Err: err}
+	}
 	x.mu.Lock()
 	x.claimCount++
-	duty := promotion.Duty{Server: e.Server, Holder: x.deps.Self, Incarnation: x.deps.Incarnation, Claim: x.claimCount}
+	duty := promotion.Duty{Server: e.Server, Holder: x.deps.Self, Incarnation: x.deps.Incarnation, Claim: x.claimCount, Epoch: epoch}
 	x.mu.Unlock()
-	value, err := json.Marshal(duty)
-	if err != nil {
-		return promotion.ClaimResult{Database: e.Database, Err: &platform.InvalidValueError{Kind: platform.KindDuty, Name: e.Database, Cause: err}}
-	}
-	request := claimRequest{Database: e.Database, IfVersion: x.deps.Primacy.Ledger().Designation(e.Database).Token, Value: value}
-	version, err := x.writeClaim(ctx, request)
+	request := claimRequest{Database: e.Database, Known: x.deps.Primacy.Ledger().Designation(e.Database).Token, Duty: duty}
+	token, err := x.writeClaim(ctx, request)
 	var unavailable *platform.UnavailableError
 	if errors.As(err, &unavailable) {
-		version, err = x.writeClaimThroughPeer(ctx, request, err)
+		token, err = x.writeClaimThroughPeer(ctx, request, err)
 	}
 	if err != nil {
 		return promotion.ClaimResult{Database: e.Database, Err: err}
 	}
-	x.deps.Primacy.Record(e.Database, duty.Designation(version))
-	return promotion.ClaimResult{Database: e.Database, Token: version}
+	x.deps.Primacy.Record(e.Database, topology.Designation{Server: duty.Server, Holder: duty.Holder, Token: token})
+	return promotion.ClaimResult{Database: e.Database, Token: token}
 }
 
-// writeClaim writes a claim to the store and returns its version.
+// writeClaim writes a claim to the store and returns its token. A claim that the store has
+// executed in another epoch than that for which it was made counts as not written: it may
+// have replaced any record.
 func (x *Executor) writeClaim(ctx context.Context, r claimRequest) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	if r.IfVersion == 0 {
-		current, err := x.deps.Store.Get(ctx, platform.KindDuty, r.Database)
-		var missing *platform.NotFoundError
-		if err != nil && !errors.As(err, &missing) {
-			return 0, err
+	value, err := json.Marshal(r.Duty)
+	if err != nil {
+		return 0, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: err}
+	}
+	current, err := x.deps.Store.Get(ctx, platform.KindDuty, r.Database)
+	var missing *platform.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return 0, err
+	}
+	if current.Version != 0 && r.Known != 0 {
+		if d, err := x.recordStored(r.Database, current); err != nil || d.Token > r.Known {
+			return 0, &platform.ConflictError{Kind: platform.KindDuty, Name: r.Database, Current: current}
 		}
-		r.IfVersion = current.Version
 	}
-	o, err := platform.PutWithRetry(ctx, x.deps.Store, platform.KindDuty, r.Database, r.IfVersion, r.Value, platform.SameValue(r.Value))
+	o, err := platform.PutWithRetry(ctx, x.deps.Store, platform.KindDuty, r.Database, current.Version, value, platform.SameValue(value))
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		return x.resolveConflict(r, conflict)
+		o, err = x.resolveConflict(r.Database, value, conflict)
+	}
+	if err != nil {
+		return 0, err
 	}
-	return o.Version, err
+	if epoch := platform.EpochOf(o.Version); epoch != r.Duty.Epoch {
+		return 0, &OtherEpochError{Database: r.Database, Want: r.Duty.Epoch, Got: epoch}
+	}
+	return r.Duty.Designation(o.Version).Token, nil
 }
 
-// resolveConflict returns the version of the claim if the conflicting object is the
-// claim itself, written by an attempt whose response was lost. Otherwise it records the
-// other VM's designation.
-func (x *Executor) resolveConflict(r claimRequest, conflict *platform.ConflictError) (uint64, error) {
-	if own, err := platform.SameValue(r.Value)(context.Background(), conflict.Current); err == nil && own && conflict.Current.Version != 0 {
-		return conflict.Current.Version, nil
-	}
-	var other promotion.Duty
-	if err := json.Unmarshal(conflict.Current.Value, &other); err != nil {
-		x.deps.Log.Warn("conflicting_claim_unreadable", "database", r.Database, "version", conflict.Current.Version, "error", err)
-		return 0, conflict
-	}
-	x.deps.Primacy.Record(r.Database, other.Designation(conflict.Current.Version))
-	return 0, conflict
+// recordStored records the designation in a stored record.
+func (x *Executor) recordStored(database string, o platform.Object) (topology.Designation, error) {
+	var duty promotion.Duty
+	if err := json.Unmarshal(o.Value, &duty); err != nil {
+		x.deps.Log.Warn("conflicting_claim_unreadable", "database", database, "version", o.Version, "error", err)
+		return topology.Designation{}, err
+	}
+	d := duty.Designation(o.Version)
+	x.deps.Primacy.Record(database, d)
+	return d, nil
+}
+
+// resolveConflict returns the conflicting object if it is the claim itself, written by an
+// attempt whose response was lost. Otherwise it records the other VM's designation.
+func (x *Executor) resolveConflict(database string, value []byte, conflict *platform.ConflictError) (platform.Object, error) {
+	if own, err := platform.SameValue(value)(context.Background(), conflict.Current); err == nil && own && conflict.Current.Version != 0 {
+		return conflict.Current, nil
+	}
+	if conflict.Current.Version != 0 {
+		_, _ = x.recordStored(database, conflict.Current) // its error is logged; the conflict is returned
+	}
+	return platform.Object{}, conflict
 }
 
 // writeClaimThroughPeer has another VM write the claim. cause is the error of this VM's
@@ -96,9 +131,9 @@
 		var response claimResponse
 		callErr := peer.CallMsgpack(ctx, x.deps.Peers, vm, method.Claim, &r, &response)
 		cancel()
-		if callErr == nil && response.Version != 0 {
-			x.deps.Log.Info("claim_written_by_peer", "database", r.Database, "vm", vm, "token", response.Version, "cause", cause)
-			return response.Version, nil
+		if callErr == nil && response.Token != 0 {
+			x.deps.Log.Info("claim_written_by_peer", "database", r.Database, "vm", vm, "token", response.Token, "cause", cause)
+			return response.Token, nil
 		}
 		x.deps.Log.Warn("claim_not_written_by_peer", "database", r.Database, "vm", vm, "detail", response.Detail, "error", callErr)
 		if callErr != nil {
@@ -125,16 +160,15 @@
 	if err := peer.DecodeBody(body, &r); err != nil {
 		return nil, err
 	}
-	var duty promotion.Duty
-	if err := json.Unmarshal(r.Value, &duty); err != nil || duty.Holder != from {
+	if r.Duty.Holder != from {
 		return nil, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: errors.New("not a claim of VM " + from)}
 	}
-	version, err := x.writeClaim(ctx, r)
-	response := claimResponse{Version: version}
+	token, err := x.writeClaim(ctx, r)
+	response := claimResponse{Token: token}
 	if err != nil {
 		response.Detail = err.Error()
 	} else {
-		x.deps.Primacy.Record(r.Database, duty.Designation(version))
+		x.deps.Primacy.Record(r.Database, topology.Designation{Server: r.Duty.Server, Holder: r.Duty.Holder, Token: token})
 	}
 	return msgpack.Marshal(&response)
 }
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -76,6 +76,9 @@
 	Permit(ctx context.Context, database, server string) error
 	// Record adds a designation.
 	Record(database string, d topology.Designation)
+	// SettledEpoch returns the epoch of the store, or an error while its records may lack
+	// designations of earlier epochs.
+	SettledEpoch(ctx context.Context) (uint64, error)
 }
 
 // Executor executes the effects of the promotion machine. It implements
--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -58,7 +58,7 @@
 	storeClient, registry := platform.NewStore(s, eventlog.Discard()), metrics.NewRegistry()
 	v := &testVM{
 		results: make(chan reducer.Event, 1), peers: &stubPeers{},
-		publisher: topology.NewPublisher(&topology.Snapshot{Self: name}),
+		publisher: topology.NewPublisher(&topology.Snapshot{Self: name, Listed: []string{name}}),
 	}
 	v.primacy = primacyrun.New(primacyrun.Deps{
 		Self: name, Store: storeClient, Peers: v.peers, Source: v.publisher, Log: eventlog.Discard(), Metrics: registry,
@@ -159,10 +159,11 @@
 func TestTokenIsNotSentWithoutRecentEvidence(t *testing.T) {
 	g := NewWithT(t)
 	store := newStore(t)
-	a := newVM("a", store)
-	token := a.claim(g).Token
+	a, b := newVM("a", store), newVM("b", store)
+	token := a.claim(g).Token // needs evidence, so a has it
+	b.primacy.Record("orders", a.primacy.Ledger().Designation("orders"))
 	store.ForceStatus(http.StatusServiceUnavailable)
-	g.Expect(a.promote(g, "a", token)).To(BeAssignableToTypeOf(&primacy.ExpiredError{}))
+	g.Expect(b.promote(g, "a", token)).To(BeAssignableToTypeOf(&primacy.ExpiredError{}))
 	g.Expect(store.Promotions()).To(BeEmpty())
 }
 
--- a/internal/promotion/run/revoke.go
+++ b/internal/promotion/run/revoke.go
@@ -10,6 +10,7 @@
 	"egretroad/internal/clock"
 	"egretroad/internal/peer"
 	"egretroad/internal/peer/method"
+	"egretroad/internal/platform"
 	"egretroad/internal/primacy"
 	"egretroad/internal/promotion"
 	"egretroad/internal/reducer"
@@ -25,8 +26,9 @@
 
 // acknowledgeResponse is the response of method.Acknowledge.
 type acknowledgeResponse struct {
-	Acknowledged bool `msgpack:"a"`
-	Connected    bool `msgpack:"c"` // the VM has a connection to the old primary
+	Acknowledged bool   `msgpack:"a"`
+	Connected    bool   `msgpack:"c"` // the VM has a connection to the old primary
+	Epoch        uint64 `msgpack:"e"` // latest epoch of the store that the VM knows
 }
 
 // acknowledge asks all listed VMs to use no other primary than the designated one. If
@@ -90,6 +92,7 @@
 			if err := peer.CallMsgpack(ctx, x.deps.Peers, vm, method.Acknowledge, &request, &a.response); err != nil {
 				x.deps.Log.Warn("designation_not_acknowledged", "vm", vm, "database", e.Database, "error", err)
 			}
+			x.deps.Primacy.Ledger().ConfirmEpoch(a.response.Epoch)
 			answers <- a
 		}()
 	}
@@ -104,7 +107,8 @@
 }
 
 // serveAcknowledge records another VM's designation. It is not acknowledged while a
-// promotion call of this VM with a lower token is in flight.
+// promotion call of this VM with a lower token is in flight, nor if it is of an earlier
+// epoch of the store, which may have lost it.
 func (x *Executor) serveAcknowledge(_ context.Context, _ string, body []byte) ([]byte, error) {
 	var r acknowledgeRequest
 	if err := peer.DecodeBody(body, &r); err != nil {
@@ -114,8 +118,10 @@
 	x.mu.Lock()
 	token, calling := x.calls[r.Database]
 	x.mu.Unlock()
+	epoch := x.deps.Primacy.Ledger().Epoch()
 	return msgpack.Marshal(&acknowledgeResponse{
-		Acknowledged: !calling || token >= r.Designation.Token,
+		Acknowledged: (!calling || token >= r.Designation.Token) && platform.EpochOf(r.Designation.Token) >= epoch,
+		Epoch:        epoch,
 		Connected:    r.OldPrimary != "" && x.deps.Local.Connected(r.OldPrimary),
 	})
 }
@@ -220,7 +226,8 @@
 		x.mu.Unlock()
 	}()
 	err := x.deps.Primacy.Permit(ctx, call.Database, call.Server)
-	if d := x.deps.Primacy.Ledger().Designation(call.Database); d.Token != call.Token {
+	ledger := x.deps.Primacy.Ledger()
+	if d := ledger.Designation(call.Database); d.Token != call.Token || platform.EpochOf(call.Token) < ledger.Epoch() {
 		return &promotion.SupersededError{Call: call, Newer: d}
 	}
 	if err != nil {
