Let a restarted VM state only what it has known since its start

What callers could see: a write acknowledged by a replaced primary, or a read that misses acknowledged commits, after a VM had restarted during a promotion while others were cut off.

Cause: a VM counted as one that states what it knows once it had had any full evidence. A restarted VM that got old evidence from a VM that was cut off, from before its own start, counted too, although it had forgotten the designation that it had acknowledged. The two were half of four VMs, which permits the use of the replaced primary while the store is away.

Change: a VM states something only if its full evidence is from after its start. Full evidence from the VMs needs a response of each and statements of more than half, so that a restarted minority does not stop writes during an outage.

TestRestartedVMDoesNotStateEvidenceFromBeforeItsStart replays it and cannot pass before, as a statement did not tell the two kinds of evidence apart. TestRestartedMinorityDoesNotEndFullEvidence guards the other side.

--- a/internal/primacy/doc.go
+++ b/internal/primacy/doc.go
@@ -7,9 +7,10 @@
 // while it knows, from evidence that is recent enough, that no other server is
 // designated:
 //
-//   - Evidence is full if it was read from the store, or if every listed VM has stated
-//     the designations that it knows. It is valid for Validity.
-//   - Evidence is partial if at least half of the listed VMs have done so. It serves
+//   - Evidence is full if it was read from the store, or if every listed VM has responded
+//     and more than half have stated the designations that they know. It is valid for
+//     Validity.
+//   - Evidence is partial if at least half of the listed VMs have stated them. It serves
 //     while the store is unavailable and some VM is silent, and ends MinorityWait after
 //     the last full evidence.
 //
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -66,7 +66,7 @@
 	w := &world{t: t, now: time.Hour, vms: map[string]*fuzzVM{}, primary: "s0", promoted: map[uint64]bool{0: true}, epoch: 1, settled: 1, writable: map[string]bool{"s0": true}}
 	for i := range rapid.IntRange(1, 5).Draw(t, "vms") {
 		id := fmt.Sprint("vm", i)
-		w.vms[id] = &fuzzVM{ledger: primacy.NewLedger()}
+		w.vms[id] = &fuzzVM{ledger: primacy.NewLedger(w.now)}
 		w.listed = append(w.listed, id)
 	}
 	return w
@@ -112,7 +112,7 @@
 // that had none may have forgotten a designation that it acknowledged.
 func (w *world) restore(age int) {
 	for _, vm := range w.vms {
-		if vm.ledger.ValidUntil() == 0 {
+		if !vm.ledger.Complete() {
 			return
 		}
 	}
@@ -147,7 +147,7 @@
 }
 
 func (w *world) askAll(id string) (stated, responded map[string]bool) {
-	stated = map[string]bool{id: w.vms[id].ledger.ValidUntil() != 0}
+	stated = map[string]bool{id: w.vms[id].ledger.Complete()}
 	responded = map[string]bool{id: true}
 	for _, other := range w.listed {
 		if other == id || !w.reaches(id, other) {
@@ -156,9 +156,9 @@
 		w.vms[other].ledger.ConfirmEpoch(w.vms[id].ledger.Epoch())
 		e := w.vms[other].ledger.Evidence(w.now, w.vms[id].ledger.Digest())
 		w.vms[id].ledger.Adopt(e, w.now)
-		stated[other], responded[other] = e.HasFull, true
+		stated[other], responded[other] = e.Complete, true
 	}
-	switch primacy.Cover(w.listed, stated) {
+	switch primacy.Cover(w.listed, stated, responded) {
 	case primacy.CoverageFull:
 		w.vms[id].ledger.ConfirmFull(w.now)
 	case primacy.CoveragePartial:
@@ -283,7 +283,7 @@
 				w.vms[id].noStore = rapid.Bool().Draw(t, "no store")
 			case 9: // the VM restarts
 				if w.settled == w.epoch {
-					w.vms[id].ledger, w.vms[id].attempt = primacy.NewLedger(), nil
+					w.vms[id].ledger, w.vms[id].attempt = primacy.NewLedger(w.now), nil
 				}
 			case 17:
 				w.restore(rapid.IntRange(0, 2).Draw(t, "age"))
--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -44,6 +44,7 @@
 	Epoch        uint64                          `msgpack:"e,omitempty"` // latest epoch of the store that the sender knows
 	Settled      uint64                          `msgpack:"s,omitempty"` // latest settled epoch that the sender knows
 	HasFull      bool                            `msgpack:"f"`
+	Complete     bool                            `msgpack:"c"` // the sender has known all designations at some time since its start
 	FullAge      time.Duration                   `msgpack:"a"` // since the last full evidence, if HasFull
 	PartialAge   time.Duration                   `msgpack:"p"` // since the last evidence of either kind, if HasFull
 }
@@ -52,6 +53,8 @@
 // newest designation of a group always replaces older ones, so the order of updates does
 // not matter. It is safe for concurrent use. Times are on CLOCK_BOOTTIME.
 type Ledger struct {
+	startedAt time.Duration // start of this process
+
 	mu           sync.Mutex // guards the fields below
 	designations map[string]topology.Designation
 	digest       uint64 // XOR over the designations' hashes
@@ -63,7 +66,9 @@
 }
 
 // NewLedger returns an empty ledger, which permits nothing.
-func NewLedger() *Ledger { return &Ledger{designations: map[string]topology.Designation{}} }
+func NewLedger(startedAt time.Duration) *Ledger {
+	return &Ledger{startedAt: startedAt, designations: map[string]topology.Designation{}}
+}
 
 // Merge adds designations and returns those that were new.
 func (l *Ledger) Merge(designations map[string]topology.Designation) map[string]topology.Designation {
@@ -168,13 +173,24 @@
 func (l *Ledger) Evidence(now time.Duration, known uint64) Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := Evidence{Digest: l.digest, Epoch: l.epoch, Settled: l.settled, HasFull: l.hasFull, FullAge: now - l.fullAt, PartialAge: now - l.partialAt}
+	e := Evidence{Digest: l.digest, Epoch: l.epoch, Settled: l.settled, HasFull: l.hasFull, Complete: l.isComplete(), FullAge: now - l.fullAt, PartialAge: now - l.partialAt}
 	if known != l.digest {
 		e.Designations = maps.Clone(l.designations)
 	}
 	return e
 }
 
+// Complete reports whether this VM has known every designation at some time since its
+// start, so that it knows each one that it has ever acknowledged. Evidence from before its
+// start, which it may have got from another VM, does not show that.
+func (l *Ledger) Complete() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isComplete()
+}
+
+func (l *Ledger) isComplete() bool { return l.hasFull && l.fullAt > l.startedAt }
+
 // Designations returns the newest known designation of each group.
 func (l *Ledger) Designations() map[string]topology.Designation {
 	l.mu.Lock()
--- a/internal/primacy/primacy_test.go
+++ b/internal/primacy/primacy_test.go
@@ -16,7 +16,7 @@
 
 func TestNothingIsPermittedWithoutEvidence(t *testing.T) {
 	g := NewWithT(t)
-	l := primacy.NewLedger()
+	l := primacy.NewLedger(0)
 	g.Expect(l.Check("orders", "s1", 0)).To(BeAssignableToTypeOf(&primacy.ExpiredError{}))
 	l.ConfirmPartial(time.Second)
 	g.Expect(l.Check("orders", "s1", time.Second)).To(HaveOccurred(), "partial evidence only extends full evidence")
@@ -26,7 +26,7 @@
 
 func TestEvidenceExpires(t *testing.T) {
 	g := NewWithT(t)
-	l := primacy.NewLedger()
+	l := primacy.NewLedger(0)
 	l.ConfirmFull(time.Minute)
 	g.Expect(l.Check("orders", "s1", time.Minute+primacy.Validity-1)).To(Succeed())
 	g.Expect(l.Check("orders", "s1", time.Minute+primacy.Validity)).To(MatchError(&primacy.ExpiredError{Age: primacy.Validity}))
@@ -36,7 +36,7 @@
 
 func TestPartialEvidenceIsBoundedByFullEvidence(t *testing.T) {
 	g := NewWithT(t)
-	l := primacy.NewLedger()
+	l := primacy.NewLedger(0)
 	l.ConfirmFull(time.Minute)
 	l.ConfirmPartial(time.Minute + 2*time.Second)
 	g.Expect(l.ValidUntil()).To(Equal(time.Minute + 2*time.Second + primacy.Validity))
@@ -48,7 +48,7 @@
 // malformed evidence never widens a permission.
 func TestNewestDesignationCounts(t *testing.T) {
 	g := NewWithT(t)
-	l := primacy.NewLedger()
+	l := primacy.NewLedger(0)
 	l.ConfirmFull(0)
 	g.Expect(l.Merge(designate("s2", 5))).To(HaveLen(1))
 	g.Expect(l.Merge(designate("s1", 4))).To(BeEmpty())
@@ -64,7 +64,7 @@
 // Records of earlier versions name no server: any registered primary may be used.
 func TestDesignationWithoutServerPermitsRegisteredPrimary(t *testing.T) {
 	g := NewWithT(t)
-	l := primacy.NewLedger()
+	l := primacy.NewLedger(0)
 	l.Merge(designate("", 5))
 	l.ConfirmFull(0)
 	g.Expect(l.Check("orders", "s1", 0)).To(Succeed())
@@ -72,7 +72,7 @@
 
 func TestEvidenceOfAnotherVMKeepsItsAge(t *testing.T) {
 	g := NewWithT(t)
-	a, b := primacy.NewLedger(), primacy.NewLedger()
+	a, b := primacy.NewLedger(0), primacy.NewLedger(0)
 	a.Merge(designate("s2", 5))
 	a.ConfirmFull(10 * time.Second)
 	e := a.Evidence(10*time.Second+300*time.Millisecond, b.Digest())
@@ -100,15 +100,39 @@
 			for _, vm := range c.vms {
 				set[vm] = true
 			}
-			g.Expect(primacy.Cover(listed, set)).To(Equal(c.coverage))
+			g.Expect(primacy.Cover(listed, set, set)).To(Equal(c.coverage))
 			g.Expect(primacy.PromotionWait(listed, set)).To(Equal(c.wait))
 		})
 	}
 	g := NewWithT(t)
-	g.Expect(primacy.Cover(nil, map[string]bool{"a": true})).To(Equal(primacy.CoverageNone), "an unknown list proves nothing")
+	g.Expect(primacy.Cover(nil, map[string]bool{"a": true}, map[string]bool{"a": true})).To(Equal(primacy.CoverageNone), "an unknown list proves nothing")
 	g.Expect(primacy.PromotionWait(nil, map[string]bool{"a": true})).To(BeNumerically(">", primacy.MinorityWait))
 }
 
+// When all VMs respond, a minority of them may have started too recently to know anything.
+func TestRestartedMinorityDoesNotEndFullEvidence(t *testing.T) {
+	g := NewWithT(t)
+	listed := []string{"a", "b", "c", "d"}
+	all := map[string]bool{"a": true, "b": true, "c": true, "d": true}
+	g.Expect(primacy.Cover(listed, map[string]bool{"a": true, "b": true, "c": true}, all)).To(Equal(primacy.CoverageFull))
+	g.Expect(primacy.Cover(listed, map[string]bool{"a": true, "b": true}, all)).To(Equal(primacy.CoveragePartial))
+}
+
+// A VM that had acknowledged a designation restarted, got evidence from before its start
+// from a VM that was cut off, and stated with it that it knew no designation: together they
+// were half of the four VMs, so the replaced primary was used.
+func TestRestartedVMDoesNotStateEvidenceFromBeforeItsStart(t *testing.T) {
+	g := NewWithT(t)
+	cutOff, restarted := primacy.NewLedger(0), primacy.NewLedger(5*time.Second)
+	cutOff.ConfirmFull(4 * time.Second)
+	restarted.Adopt(cutOff.Evidence(6*time.Second, 0), 6*time.Second)
+	g.Expect(restarted.Evidence(6*time.Second, 0).HasFull).To(BeTrue())
+	g.Expect(restarted.Evidence(6*time.Second, 0).Complete).To(BeFalse())
+	cutOff.ConfirmFull(7 * time.Second)
+	restarted.Adopt(cutOff.Evidence(7500*time.Millisecond, 0), 7600*time.Millisecond)
+	g.Expect(restarted.Complete()).To(BeTrue())
+}
+
 // One VM of the fleet consults the store, one of each data centre asks that one, and the
 // others ask the one of their data centre.
 func TestSourcesFormTree(t *testing.T) {
@@ -132,7 +156,7 @@
 // VM has learned out of order does not hide an older one.
 func TestEvidenceOmitsKnownDesignations(t *testing.T) {
 	g := NewWithT(t)
-	a, b := primacy.NewLedger(), primacy.NewLedger()
+	a, b := primacy.NewLedger(0), primacy.NewLedger(0)
 	for database, token := range map[string]uint64{"orders": 5, "stock": 7, "grants": 9} {
 		a.Merge(map[string]topology.Designation{database: {Server: database, Token: token}})
 	}
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -18,13 +18,16 @@
 )
 
 // Cover returns the coverage of the VMs that have stated what they know, including this
-// VM. A VM outside the list counts for nothing.
-func Cover(listed []string, stated map[string]bool) Coverage {
+// VM, and of those that responded. Only a VM with a complete ledger states anything. A VM
+// that responds without one has started recently and may have forgotten what it had
+// acknowledged; more than half of the VMs remember every designation that was acted on. A
+// VM outside the list counts for nothing.
+func Cover(listed []string, stated, responded map[string]bool) Coverage {
 	n := countListed(listed, stated)
 	switch {
 	case len(listed) == 0:
 		return CoverageNone
-	case n == len(listed):
+	case countListed(listed, responded) == len(listed) && 2*n > len(listed):
 		return CoverageFull
 	case 2*n >= len(listed):
 		return CoveragePartial
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -96,7 +96,7 @@
 // New returns a refresher and registers its peer method.
 func New(d Deps) *Refresher {
 	r := &Refresher{
-		deps: d, ledger: primacy.NewLedger(), avoidedUntil: map[string]time.Duration{}, confirmed: make(chan struct{}), learned: func(string, topology.Designation) {},
+		deps: d, ledger: primacy.NewLedger(clock.Boottime()), avoidedUntil: map[string]time.Duration{}, confirmed: make(chan struct{}), learned: func(string, topology.Designation) {},
 		refreshes: d.Metrics.Counter("primacy_refreshes_total", "Refreshes of the evidence that permits the use of primaries.", "source", "result"),
 		denials:   d.Metrics.Counter("primacy_denials_total", "Statements that were not permitted to use a primary.", "reason"),
 	}
@@ -404,17 +404,16 @@
 		asked++
 		go func() {
 			e, err := r.ask(context.Background(), vm, request{}, statementTimeout)
-			answers <- answer{vm: vm, responded: err == nil, stated: e.HasFull}
+			answers <- answer{vm: vm, responded: err == nil, stated: e.Complete}
 		}()
 	}
-	// This VM counts once it has known all designations at some time since its start.
-	stated := map[string]bool{r.deps.Self: r.ledger.ValidUntil() != 0}
+	stated := map[string]bool{r.deps.Self: r.ledger.Complete()}
 	responded := map[string]bool{r.deps.Self: true}
 	for range asked {
 		a := <-answers
 		stated[a.vm], responded[a.vm] = a.stated, a.responded
 	}
-	coverage := primacy.Cover(snapshot.Listed, stated)
+	coverage := primacy.Cover(snapshot.Listed, stated, responded)
 	switch coverage {
 	case primacy.CoverageFull:
 		r.ledger.ConfirmFull(sentAt)
--- a/internal/primacy/run/refresher_test.go
+++ b/internal/primacy/run/refresher_test.go
@@ -117,8 +117,8 @@
 	full := r.Ledger().Evidence(clock.Boottime(), 0)
 	store.fail = true
 	designation := topology.Designation{Server: "s3", Holder: "c", Token: 9}
-	peers.answers["b"] = primacy.Evidence{HasFull: true, FullAge: full.FullAge}
-	peers.answers["c"] = primacy.Evidence{HasFull: true, FullAge: full.FullAge, Designations: map[string]topology.Designation{"orders": designation}}
+	peers.answers["b"] = primacy.Evidence{HasFull: true, Complete: true, FullAge: full.FullAge}
+	peers.answers["c"] = primacy.Evidence{HasFull: true, Complete: true, FullAge: full.FullAge, Designations: map[string]topology.Designation{"orders": designation}}
 	before := clock.Boottime()
 	r.refresh(0)
 	g.Expect(r.Ledger().ValidUntil()).To(BeNumerically(">=", before+primacy.Validity))
--- a/internal/primacy/run/settle_test.go
+++ b/internal/primacy/run/settle_test.go
@@ -83,7 +83,7 @@
 var lost = topology.Designation{Server: "s2", Holder: "c", Token: platform.MakeVersion(1, 50)}
 
 func knows(d topology.Designation) primacy.Evidence {
-	return primacy.Evidence{HasFull: true, Digest: 1, Epoch: 1, Settled: 1, Designations: map[string]topology.Designation{"orders": d}}
+	return primacy.Evidence{HasFull: true, Complete: true, Digest: 1, Epoch: 1, Settled: 1, Designations: map[string]topology.Designation{"orders": d}}
 }
 
 // The older copy lacks the record of the last promotion. A VM that knew only the copy would
