Register VMs again that an older copy of the store lacks

What callers could see: after a return of the store from an older copy, a VM that had registered since was declared dead by all others. Its servers got other homes, so sessions and connections moved, and it could make no promotion, since it was no longer listed.

Cause: a VM wrote its entry only at its start, and a VM missing in the list counts as removed at once.

Change: a VM that a list lacks writes its entry again. VMs missing in the first list of a new epoch stay listed for five seconds. The list is read as soon as a new epoch is noticed.

Tests: TestVMsMissingInOlderCopyStayListedUntilTheyRegisterAgain fails when such VMs are delisted at once, TestVMRegistersAgainAfterStoreReturnedFromOlderCopy had no second entry before.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -114,6 +114,13 @@
 // EffectName implements reducer.Effect.
 func (CancelWatch) EffectName() string { return "cancel_watch" }
 
+// RegisterSelf writes this VM's entry in the platform's list of VMs, which lacks it. There
+// is no result: the next list shows whether it succeeded.
+type RegisterSelf struct{}
+
+// EffectName implements reducer.Effect.
+func (RegisterSelf) EffectName() string { return "register_self" }
+
 // ListVMs reads the platform's list of VMs. The result is VMsListed.
 type ListVMs struct{}
 
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -126,6 +126,7 @@
 	m.startDueCalls()
 	m.fetchWhenDue()
 	m.writeStatusWhenDue()
+	m.members.delistMissing(now)
 	m.members.prune(now)
 	m.dropLapsedServers()
 	m.detectSilentDataCentres()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
 
@@ -20,9 +21,10 @@
 // member is the locally known state of one VM.
 type member struct {
 	record        Record
-	vm            topology.VM // addresses; ID is empty when they are unknown
-	listed        bool        // in the platform's list
-	listedLeaving bool        // marked leaving in the platform's list
+	vm            topology.VM   // addresses; ID is empty when they are unknown
+	listed        bool          // in the platform's list
+	listedLeaving bool          // marked leaving in the platform's list
+	delistAt      time.Duration // when it is no longer listed, unless a list has it before; 0: it is in the last list
 	statusSince   time.Duration
 	statusReason  string // reason for the status, shown in the dump
 
@@ -47,7 +49,8 @@
 // memberTable holds the members of the fleet by VM ID.
 type memberTable struct {
 	members            map[string]*member
-	listReceived       bool // the platform's list has been received
+	listReceived       bool   // the platform's list has been received
+	listEpoch          uint64 // epoch of the store in the last list
 	digest             uint64
 	digestStale        bool // the digest must be recomputed
 	pruneDue           time.Duration
@@ -93,24 +96,44 @@
 // applyVMList merges the platform's list of VMs. VMs of the first list are assumed
 // alive until the failure detector finds otherwise; VMs that appear in later
 // lists are recorded as dead until they announce themselves. A VM that is gone from
-// the list is declared dead.
-func (t *memberTable) applyVMList(vms []topology.VM, now time.Duration) {
+// the list is declared dead, after restoredTTL if the list is the first of a new epoch.
+func (t *memberTable) applyVMList(list *platform.VMList, restoredTTL, now time.Duration) {
 	first := !t.listReceived
-	t.listReceived = true
-	listed := make(map[string]bool, len(vms))
-	for _, vm := range vms {
+	epoch := platform.EpochOf(list.Revision)
+	newEpoch := !first && epoch > t.listEpoch
+	t.listReceived, t.listEpoch = true, max(t.listEpoch, epoch)
+	listed := make(map[string]bool, len(list.VMs))
+	for _, vm := range list.VMs {
 		listed[vm.ID] = true
 		t.applyListEntry(vm, first, now)
 	}
 	for id, m := range t.members {
-		if m.listed && !listed[id] {
-			m.listed = false
-			t.merge(Record{ID: id, Incarnation: m.record.Incarnation, Status: StatusDead}, "removed from the platform's list", now)
-			t.markChanged(m)
+		switch {
+		case listed[id]:
+			m.delistAt = 0
+		case m.listed && newEpoch:
+			m.delistAt = now + restoredTTL
+		case m.listed && m.delistAt == 0:
+			t.delist(m, now)
 		}
 	}
 }
 
+// delistMissing declares the VMs dead that have been missing from the list for too long.
+func (t *memberTable) delistMissing(now time.Duration) {
+	for _, m := range t.members {
+		if m.delistAt != 0 && now >= m.delistAt {
+			t.delist(m, now)
+		}
+	}
+}
+
+func (t *memberTable) delist(m *member, now time.Duration) {
+	m.listed, m.delistAt = false, 0
+	t.merge(Record{ID: m.record.ID, Incarnation: m.record.Incarnation, Status: StatusDead}, "removed from the platform's list", now)
+	t.markChanged(m)
+}
+
 func (t *memberTable) applyListEntry(vm topology.VM, first bool, now time.Duration) {
 	m := t.members[vm.ID]
 	if m == nil {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -51,6 +51,12 @@
 	// updates do not depend on one VM per data centre. Larger fleets have one watcher
 	// per data centre, since every waiting watch counts against the store's rate limit.
 	MaxVMsAllWatching int
+	// VMsRegister is set if VMs write their entries in the list of VMs themselves. One that
+	// is missing from the list then writes its entry again.
+	VMsRegister bool
+	// RestoredVMsTTL is how long a VM stays listed that is missing from the first list of a
+	// new epoch of the store: it registers again as soon as it notices.
+	RestoredVMsTTL time.Duration
 	// DisableStatusReports disables the status objects that are written for operators.
 	DisableStatusReports bool
 }
@@ -93,6 +99,7 @@
 		VMListTimeout:          time.Second,
 		LapsedRegistrationTTL:  2500 * time.Millisecond,
 		DataCentreSilenceLimit: 3 * time.Second,
+		RestoredVMsTTL:         5 * time.Second,
 	}
 }
 
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -38,7 +38,7 @@
 // newHarnessWithoutCatalogue returns the machine of VM a1 as it is after its start.
 func newHarnessWithoutCatalogue() *harness {
 	o := control.DefaultOptions()
-	o.SelfRegistration, o.MaxVMsAllWatching, o.DisableStatusReports = true, 32, true
+	o.SelfRegistration, o.MaxVMsAllWatching, o.DisableStatusReports, o.VMsRegister = true, 32, true, true
 	h := &harness{m: control.New(control.Config{Options: o, Self: harnessVM("a1", "a"), Incarnation: 1}), now: time.Hour}
 	h.tick(0)
 	return h
@@ -367,6 +367,40 @@
 	g.Expect(snapshot.Listed).To(ConsistOf("a1", "a2", "b1"))
 }
 
+// The older copy of the store lacked VMs that had registered since. They were declared dead,
+// although they ran, and their servers got other homes.
+func TestVMsMissingInOlderCopyStayListedUntilTheyRegisterAgain(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(platform.MakeVersion(1, 22))
+	list := func(revision uint64, ids ...string) {
+		var vms []topology.VM
+		for _, id := range ids {
+			vms = append(vms, harnessVM(id, id[:1]))
+		}
+		h.post(control.VMsListed{List: platform.VMList{Revision: platform.MakeVersion(2, revision), VMs: vms}})
+		h.tick(100 * time.Millisecond)
+	}
+	listed := func() []string {
+		var last []string
+		for _, e := range h.effects {
+			if p, ok := e.(control.Publish); ok {
+				last = p.Snapshot.Listed
+			}
+		}
+		return last
+	}
+	h.effects = nil
+	list(12, "a2")
+	g.Expect(h.effects).To(ContainElement(control.RegisterSelf{}))
+	g.Expect(listed()).To(Or(BeNil(), ConsistOf("a1", "a2", "b1")), "nil: the snapshot is unchanged")
+	list(14, "a1", "a2")
+	h.tick(4 * time.Second)
+	g.Expect(listed()).To(Or(BeNil(), ConsistOf("a1", "a2", "b1")))
+	h.tick(2 * time.Second)
+	h.tick(100 * time.Millisecond)
+	g.Expect(listed()).To(ConsistOf("a1", "a2"), "b1 has not registered again")
+}
+
 // A VM that takes an unknown object for a deleted one logs on which claim that is based.
 func TestInferredDeletionIsLoggedWithItsClaim(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/control/run/control.go
+++ b/internal/control/run/control.go
@@ -41,10 +41,12 @@
 	Peers     peer.Caller
 	Registrar peer.Registrar
 	Publisher *topology.Publisher
-	Machines  []reducer.Machine  // further machines on the same goroutine
-	Executors []reducer.Executor // executors of the further machines
-	Log       hclog.Logger
-	Metrics   *metrics.Registry
+	// RegisterSelf writes this VM's entry in the list of VMs; nil if VMs do not do that.
+	RegisterSelf func(ctx context.Context) error
+	Machines     []reducer.Machine  // further machines on the same goroutine
+	Executors    []reducer.Executor // executors of the further machines
+	Log          hclog.Logger
+	Metrics      *metrics.Registry
 }
 
 // Control runs the control machine and any further machines on one goroutine.
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -6,6 +6,7 @@
 	"errors"
 	"expvar"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,6 +26,7 @@
 	store     platform.Store
 	peers     peer.Caller
 	publisher *topology.Publisher
+	register  func(ctx context.Context) error // nil: VMs do not register themselves
 	log       hclog.Logger
 	post      func(reducer.Event)
 
@@ -54,6 +56,7 @@
 		store:          d.Store,
 		peers:          d.Peers,
 		publisher:      d.Publisher,
+		register:       d.RegisterSelf,
 		log:            d.Log,
 		ctx:            ctx,
 		cancel:         cancel,
@@ -86,6 +89,8 @@
 		x.watch(e)
 	case control.CancelWatch:
 		x.cancelCurrentWatch()
+	case control.RegisterSelf:
+		x.calls.Go(x.registerSelf)
 	case control.ListVMs:
 		x.runAsync(x.listVMs)
 	case control.FetchCopy:
@@ -122,6 +127,20 @@
 	}
 }
 
+// registerTimeout bounds the write of this VM's entry, which the next list of VMs without
+// it repeats.
+const registerTimeout = 2 * time.Second
+
+func (x *executor) registerSelf() {
+	if x.register == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, registerTimeout)
+	defer cancel()
+	err := x.register(ctx)
+	x.log.Info("vm_entry_restored", "error", err)
+}
+
 func (x *executor) notify(e control.Notify) {
 	for _, vm := range e.To {
 		x.messagesSent.Add(1)
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -27,6 +27,7 @@
 	longWatch       bool              // the call in flight is a long-polling watch, not a poll
 	watchCancelled  bool              // the watch in flight was cancelled
 	listedRevisions map[string]uint64 // by kind; revision of the last list
+	epoch           uint64            // epoch of the last list; 0: none, or the store has no epochs
 	relistNeeded    bool              // the store has compacted the revision to watch from
 }
 
@@ -128,6 +129,7 @@
 	if e.Err != nil {
 		return
 	}
+	m.noticeEpoch(platform.EpochOf(e.List.Revision))
 	wasReady := m.Ready()
 	var changed []ObjectRecord
 	if complete := m.completeUpTo(e.Kind); e.List.Revision < complete {
@@ -146,6 +148,19 @@
 	}
 }
 
+// noticeEpoch reads the list of VMs at once when the store has returned from an older copy:
+// VMs that registered since are missing from it.
+func (m *Machine) noticeEpoch(epoch uint64) {
+	if epoch <= m.store.epoch {
+		return
+	}
+	if m.store.epoch != 0 {
+		m.alarm("store_restored", "epoch", epoch, "previous", m.store.epoch, "catalogue", m.complete.Catalogue, "groups", m.complete.Groups)
+		m.store.vms.due = m.now
+	}
+	m.store.epoch = epoch
+}
+
 // deletionsFromList returns deletion records for known objects absent from a list of a
 // kind.
 func (m *Machine) deletionsFromList(kind string, list platform.ObjectList) []ObjectRecord {
@@ -257,7 +272,11 @@
 		next = m.jitter(m.opts.WatcherVMsInterval)
 	}
 	m.finishCall(&m.store.vms, e.Err, next)
-	if e.Err != nil || m.sameVMs(e.List) {
+	if e.Err != nil {
+		return
+	}
+	if m.sameVMs(e.List) {
+		m.registerIfMissing(e.List.VMs)
 		return
 	}
 	if len(e.List.VMs) == 0 && len(m.members.members) > 1 {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -10,6 +10,7 @@
 	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
 )
 
 // firstWaitingLog is the time after the start at which a VM first logs that it
@@ -107,8 +108,9 @@
 		m.log("object_in_force", "object", key.String(), "version", o.inForce, "deleted", o.record.Deleted, "from", o.source)
 	}
 	if key.kind == kindVMs && o.vms != nil {
-		m.members.applyVMList(o.vms.VMs, m.now)
+		m.members.applyVMList(o.vms, m.opts.RestoredVMsTTL, m.now)
 		m.rejoinIfDelisted()
+		m.registerIfMissing(o.vms.VMs)
 		return
 	}
 	if key.kind == platform.KindServer {
@@ -121,6 +123,20 @@
 	}
 }
 
+// registerIfMissing writes this VM's entry again if a list of VMs lacks it.
+func (m *Machine) registerIfMissing(list []topology.VM) {
+	if !m.opts.VMsRegister || m.self.leaving {
+		return
+	}
+	for _, vm := range list {
+		if vm.ID == m.cfg.Self.ID {
+			return
+		}
+	}
+	m.log("vm_entry_missing", "listed", len(list))
+	m.emit(RegisterSelf{})
+}
+
 // rejoinIfDelisted rejoins immediately if this VM is missing from the platform's list.
 func (m *Machine) rejoinIfDelisted() {
 	own := m.members.members[m.cfg.Self.ID].record
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,12 +376,14 @@
 	o.Machine.SelfRegistration, o.Machine.MaxVMsAllWatching, o.Machine.DisableStatusReports = true, maxVMsAllWatching, true
 	o.Machine.MaxBackoff = storeMaxBackoff
 	o.Machine.WatcherVMsInterval = watcherVMsInterval
+	o.Machine.VMsRegister = true
 	for _, addr := range s.Seeds {
 		o.Seeds = append(o.Seeds, topology.VM{ID: addr, PeerAddr: addr})
 	}
 	deps := control.Deps{
 		Self: s.Self, Store: a.Store, Peers: n, Registrar: n, Publisher: p,
-		Log: log.Named("control"), Metrics: m,
+		RegisterSelf: func(ctx context.Context) error { return a.Registrar.RegisterVM(ctx, s.Self) },
+		Log:          log.Named("control"), Metrics: m,
 	}
 	if a.Promoter != nil {
 		deps.Machines = []reducer.Machine{promotion.New(promotion.DefaultOptions(), s.Self.ID)}
--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -154,6 +154,18 @@
 	f.expectTokensRise()
 }
 
+// The older copy lacks the entry of a VM that registered after it was made.
+func TestVMRegistersAgainAfterStoreReturnedFromOlderCopy(t *testing.T) {
+	f := newFleet(t)
+	older := f.store.Copy()
+	older.Forget("egretroad-vms", "vm-c")
+	created := f.store.Calls("POST", "egretroad-vms")
+	f.store.Restore(older)
+	f.g.Eventually(func() int { return f.store.Calls("POST", "egretroad-vms") }, "20s", "20ms").Should(BeNumerically(">", created))
+	c := f.session(2, "shop")
+	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
+}
+
 func zoneOf(server string) string { return strings.TrimPrefix(server, "s-") }
 
 // Where the VM behind the cut is connected to the others, it makes the old primary step
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -183,6 +183,9 @@
 	return c
 }
 
+// Forget removes an object from the copy, as if it had been made before the object.
+func (c Copy) Forget(kind, name string) { delete(c.kinds[kind], name) }
+
 // Restore replaces the store by an older copy of itself, as after a loss of its data: what
 // it has acknowledged since is gone, and its revisions are given out again.
 func (s *Store) Restore(c Copy) {
