--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -155,6 +155,23 @@
 	g.Expect(store.Promotions()).To(HaveLen(1))
 }
 
+// A designation that the store may have lost is not acted on, also if its VM has read
+// nothing of the new epoch itself. Its token would be lower than those of the new epoch.
+func TestDesignationOfEarlierEpochIsNotActedOn(t *testing.T) {
+	g := NewWithT(t)
+	store := newStore(t)
+	older := store.Copy()
+	a, b := newVM("a", store), newVM("b", store)
+	token := a.claim(g).Token
+	store.Restore(older)
+	newer := b.claim(g)
+	g.Expect(newer.Err).NotTo(HaveOccurred())
+	g.Expect(newer.Token).To(BeNumerically(">", token))
+	a.primacy.Ledger().ConfirmEpoch(b.primacy.Ledger().Epoch())
+	g.Expect(a.promote(g, "a", token)).To(BeAssignableToTypeOf(&promotion.SupersededError{}))
+	g.Expect(store.Promotions()).To(BeEmpty())
+}
+
 // A VM without recent evidence might not know of a newer claim, so it sends nothing.
 func TestTokenIsNotSentWithoutRecentEvidence(t *testing.T) {
 	g := NewWithT(t)
