Check for delisted VMs only when one is missing from the list

The check ran over all members on each tick. The write of a missing VM entry logs a failure as vm_not_registered, like the one at the start.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -49,8 +49,9 @@
 // memberTable holds the members of the fleet by VM ID.
 type memberTable struct {
 	members            map[string]*member
-	listReceived       bool   // the platform's list has been received
-	listEpoch          uint64 // epoch of the store in the last list
+	listReceived       bool          // the platform's list has been received
+	listEpoch          uint64        // epoch of the store in the last list
+	nextDelist         time.Duration // when VMs missing from the list are declared dead; 0: none is missing
 	digest             uint64
 	digestStale        bool // the digest must be recomputed
 	pruneDue           time.Duration
@@ -113,6 +114,7 @@
 			m.delistAt = 0
 		case m.listed && newEpoch:
 			m.delistAt = now + restoredTTL
+			t.nextDelist = m.delistAt
 		case m.listed && m.delistAt == 0:
 			t.delist(m, now)
 		}
@@ -121,6 +123,10 @@
 
 // delistMissing declares the VMs dead that have been missing from the list for too long.
 func (t *memberTable) delistMissing(now time.Duration) {
+	if t.nextDelist == 0 || now < t.nextDelist {
+		return
+	}
+	t.nextDelist = 0
 	for _, m := range t.members {
 		if m.delistAt != 0 && now >= m.delistAt {
 			t.delist(m, now)
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -137,8 +137,11 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, registerTimeout)
 	defer cancel()
-	err := x.register(ctx)
-	x.log.Info("vm_entry_restored", "error", err)
+	if err := x.register(ctx); err != nil {
+		x.log.Warn("vm_not_registered", "error", err)
+		return
+	}
+	x.log.Info("vm_entry_restored")
 }
 
 func (x *executor) notify(e control.Notify) {
