Add stand-ins for the cases of an independent review

A small deployment with the proxies as processes of the deploy file, and stand-ins of the store, the cloud API, the servers and the clients.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the review's scripts. The proxies come from the deploy file's build.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-standin ./review/standin
--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,115 @@
+// Command standin plays the cases of the review: it starts the proxies as the deploy file
+// says, with stand-ins of the store, the cloud API, the servers and the clients, and checks
+// one rule. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could
+// not run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// recordedViolations is the number of violations that the record lists.
+const recordedViolations = 20
+
+// playLimit ends a case that hangs.
+const playLimit = 115 * time.Second
+
+var (
+	recordMu   sync.Mutex // guards recordFile
+	recordFile *os.File
+	startedAt  = time.Now()
+)
+
+// note writes a line to the record.
+func note(format string, args ...any) {
+	recordMu.Lock()
+	defer recordMu.Unlock()
+	_, _ = fmt.Fprintf(recordFile, "%8.3f %s\n", time.Since(startedAt).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// cases are the cases by name. Each returns the violations found.
+var cases = map[string]func(c *cluster, trouble bool) ([]string, error){
+	"latecall": playLateCall,
+	"drain":    playDrain,
+	"linefeed": playLineFeed,
+	"prepared": playPrepared,
+	"memory":   playMemory,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		return exitNotRun
+	}
+	var err error
+	if recordFile, err = os.Create(os.Args[2]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	note("case %s, disruption %t", os.Args[1], trouble)
+	c, err := newCluster()
+	if c != nil {
+		defer c.close()
+	}
+	if err == nil {
+		err = c.awaitReady()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		return exitNotRun
+	}
+	time.AfterFunc(playLimit, func() {
+		fmt.Fprintln(os.Stderr, "the case took too long")
+		c.close()
+		os.Exit(exitNotRun)
+	})
+	note("all VMs are ready")
+	violations, err := cases[os.Args[1]](c, trouble)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		return exitNotRun
+	}
+	if os.Getenv("KEEP_LOGS") != "" {
+		keepLogs(c)
+	}
+	for _, v := range violations[:min(recordedViolations, len(violations))] {
+		note("BROKEN: %s", v)
+	}
+	if len(violations) > 0 {
+		note("BROKEN in %d places in all", len(violations))
+	}
+	if len(violations) > 0 {
+		fmt.Println("the rule was broken:", strings.Join(violations[:min(3, len(violations))], "; "))
+		return exitBroken
+	}
+	note("the rule held")
+	fmt.Println("the rule held")
+	return exitHeld
+}
+
+// keepLogs copies the logs of the proxies to the folder that KEEP_LOGS names.
+func keepLogs(c *cluster) {
+	entries, err := os.ReadDir(c.dir)
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		if raw, err := os.ReadFile(c.dir + "/" + e.Name()); err == nil {
+			_ = os.WriteFile(os.Getenv("KEEP_LOGS")+"/"+e.Name(), raw, 0o600)
+		}
+	}
+}
