Let the review's stand-ins cut the network between VMs

The VMs get relays in place of each other's addresses with the list of VMs. The stand-in of the prepared statements goes with its case.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -16,35 +16,38 @@
 	"time"
 
 	"egretroad/internal/standin/metastore"
+	"egretroad/internal/standin/network"
 )
 
 // zones are the data centres of the deployment, one entry per VM.
 var zones = []string{"milano-est", "milano-est", "milano-est", "torino-nord", "torino-nord", "bologna-ovest"}
 
+var dataCentres = []string{"milano-est", "torino-nord", "bologna-ovest"}
+
 var regions = map[string]string{"milano-est": "lombardia", "torino-nord": "piemonte", "bologna-ovest": "emilia"}
 
 // Names of the deployment.
 const (
 	serviceName  = "archivio"
-	hostPrimary  = "esito"     // primary
-	hostBounded  = "consulta"  // bounded_staleness
-	hostOwn      = "prenota"   // read_your_writes
-	graceSeconds = 6           // grace-s
-	memoryMB     = 284         // memory-mb
-	firstVMHost  = "127.77.0." // VMs have addresses of their own
+	hostPrimary  = "esito"    // primary
+	hostBounded  = "consulta" // bounded_staleness
+	hostOwn      = "prenota"  // read_your_writes
+	graceSeconds = 6          // grace-s
+	memoryMB     = 284        // memory-mb
 )
 
 // cluster is a small deployment: the proxies as processes of their own, and stand-ins of
 // the store, the cloud API, the servers and the clients in this process.
 type cluster struct {
-	dir   string
-	store *metastore.Store
-	cloud *cloud
-	group *group
-	vms   []*vm
-	ports ports
-	seqMu sync.Mutex
-	seq   map[string]int
+	dir     string
+	store   *metastore.Store
+	network *fleetNetwork
+	cloud   *cloud
+	group   *group
+	vms     []*vm
+	ports   ports
+	seqMu   sync.Mutex
+	seq     map[string]int
 }
 
 // ports are the ports of all VMs.
@@ -75,21 +78,27 @@
 	}
 	c.store.PageSize = 500
 	c.store.OmitEra()
+	if c.network, err = newFleetNetwork(c.store.Addr(), dataCentres); err != nil {
+		return nil, err
+	}
 	if c.cloud, err = newCloud(c.group); err != nil {
 		return nil, err
 	}
 	for i, id := range []string{"i-01", "i-02", "i-03"} {
-		if _, err := c.group.add(id, []string{"milano-est", "torino-nord", "bologna-ovest"}[i]); err != nil {
+		if _, err := c.group.add(id, dataCentres[i]); err != nil {
 			return nil, err
 		}
 	}
 	c.putConfig(7)
-	if c.ports, err = freePorts(); err != nil {
+	if c.ports, err = freePorts(c.network.cuts); err != nil {
 		return nil, err
 	}
-	for i, zone := range zones {
-		v := &vm{cluster: c, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: firstVMHost + strconv.Itoa(i+1)}
-		c.vms = append(c.vms, v)
+	for _, zone := range zones {
+		if _, err := c.addVM(zone); err != nil {
+			return nil, err
+		}
+	}
+	for _, v := range c.vms {
 		if err := v.start(); err != nil {
 			return nil, err
 		}
@@ -97,6 +106,19 @@
 	return c, nil
 }
 
+// addVM adds another VM, which does not run yet.
+func (c *cluster) addVM(zone string) (*vm, error) {
+	n := 0
+	for _, v := range c.vms {
+		if v.zone == zone {
+			n++
+		}
+	}
+	v := &vm{cluster: c, name: fmt.Sprintf("front-%s-%d", zone, n+1), zone: zone, ip: c.network.cuts.VMAddr(zone, n)}
+	c.vms = append(c.vms, v)
+	return v, c.network.add(v.name, v.ip, v.address(c.ports.control))
+}
+
 // close ends all processes and stand-ins.
 func (c *cluster) close() {
 	for _, v := range c.vms {
@@ -113,24 +135,29 @@
 	_ = os.RemoveAll(c.dir)
 }
 
+// vmsPerZone is the largest number of VMs of a zone in any case.
+const vmsPerZone = 4
+
 // freePorts returns ports that are free on the addresses of all VMs.
-func freePorts() (ports, error) {
+func freePorts(addresses *network.Network) (ports, error) {
 	var found []int
 	for len(found) < 4 {
-		probe, err := net.Listen("tcp", firstVMHost+"1:0")
+		probe, err := net.Listen("tcp", net.JoinHostPort(addresses.VMAddr(zones[0], 0), "0"))
 		if err != nil {
 			return ports{}, err
 		}
 		port := probe.Addr().(*net.TCPAddr).Port
 		_ = probe.Close()
 		free := true
-		for i := range zones {
-			l, err := net.Listen("tcp", net.JoinHostPort(firstVMHost+strconv.Itoa(i+1), strconv.Itoa(port)))
-			if err != nil {
-				free = false
-				break
+		for _, zone := range dataCentres {
+			for i := range vmsPerZone {
+				l, err := net.Listen("tcp", net.JoinHostPort(addresses.VMAddr(zone, i), strconv.Itoa(port)))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = l.Close()
 			}
-			_ = l.Close()
 		}
 		if free {
 			found = append(found, port)
@@ -224,6 +251,7 @@
 
 func (v *vm) settings() string {
 	p := v.cluster.ports
+	seed := func(i int) string { return v.cluster.network.relayOf(fmt.Sprintf("front-%s-1", dataCentres[i])) }
 	var b strings.Builder
 	fmt.Fprintf(&b, `node-name = %q
 role = "proxy"
@@ -233,7 +261,7 @@
 zone = %q
 region = %q
 internal-ports = [%d,%d]
-seeds = ["%s:%d","%s:%d","%s:%d"]
+seeds = [%q,%q,%q]
 bootstrap = true
 counts-as-loss = false
 discovery = "platform"
@@ -241,7 +269,7 @@
 heartbeat-ms = 1200
 contracts = ["base","drain","config","cost","recover","sql","platform"]
 [zones]
-`, v.name, v.ip, v.zone, regions[v.zone], p.internal, p.internal+15, firstVMHost+"1", p.control, firstVMHost+"4", p.control, firstVMHost+"6", p.control)
+`, v.name, v.ip, v.zone, regions[v.zone], p.internal, p.internal+15, seed(0), seed(1), seed(2))
 	for zone, region := range regions {
 		fmt.Fprintf(&b, "%s = %q\n", zone, region)
 	}
@@ -288,7 +316,7 @@
 rate-per-s = 50.0
 duties = ["failover"]
 duty-per-s = 50.0
-`, v.address(p.front), v.address(p.ready), v.address(p.control), memoryMB, graceSeconds, v.cluster.store.Addr(), v.cluster.cloud.addr())
+`, v.address(p.front), v.address(p.ready), v.address(p.control), memoryMB, graceSeconds, v.cluster.network.listener.Addr().String(), v.cluster.cloud.addr())
 	return b.String()
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,10 +43,13 @@
 	"latecall": playLateCall,
 	"drain":    playDrain,
 	"linefeed": playLineFeed,
-	"prepared": playPrepared,
+	"split":    playSplit,
 	"memory":   playMemory,
 }
 
+// plays is how often a case is played at most, until the rule is broken; once by default.
+var plays = map[string]int{"split": 2}
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -60,7 +63,34 @@
 		return exitNotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	note("case %s, disruption %t", os.Args[1], trouble)
+	var violations []string
+	for n := range max(1, plays[os.Args[1]]) {
+		note("case %s, play %d, disruption %t", os.Args[1], n+1, trouble)
+		if violations, err = play(os.Args[1], trouble); err != nil {
+			fmt.Fprintln(os.Stderr, "the case could not run:", err)
+			return exitNotRun
+		}
+		if len(violations) > 0 {
+			break
+		}
+	}
+	for _, v := range violations[:min(recordedViolations, len(violations))] {
+		note("BROKEN: %s", v)
+	}
+	if len(violations) > 0 {
+		note("BROKEN in %d places in all", len(violations))
+	}
+	if len(violations) > 0 {
+		fmt.Println("the rule was broken:", strings.Join(violations[:min(3, len(violations))], "; "))
+		return exitBroken
+	}
+	note("the rule held")
+	fmt.Println("the rule held")
+	return exitHeld
+}
+
+// play plays a case once, with a deployment of its own.
+func play(name string, trouble bool) ([]string, error) {
 	c, err := newCluster()
 	if c != nil {
 		defer c.close()
@@ -69,36 +99,20 @@
 		err = c.awaitReady()
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "the case could not run:", err)
-		return exitNotRun
+		return nil, err
 	}
-	time.AfterFunc(playLimit, func() {
+	limit := time.AfterFunc(playLimit-time.Since(startedAt), func() {
 		fmt.Fprintln(os.Stderr, "the case took too long")
 		c.close()
 		os.Exit(exitNotRun)
 	})
+	defer limit.Stop()
 	note("all VMs are ready")
-	violations, err := cases[os.Args[1]](c, trouble)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "the case could not run:", err)
-		return exitNotRun
-	}
+	violations, err := cases[name](c, trouble)
 	if os.Getenv("KEEP_LOGS") != "" {
 		keepLogs(c)
 	}
-	for _, v := range violations[:min(recordedViolations, len(violations))] {
-		note("BROKEN: %s", v)
-	}
-	if len(violations) > 0 {
-		note("BROKEN in %d places in all", len(violations))
-	}
-	if len(violations) > 0 {
-		fmt.Println("the rule was broken:", strings.Join(violations[:min(3, len(violations))], "; "))
-		return exitBroken
-	}
-	note("the rule held")
-	fmt.Println("the rule held")
-	return exitHeld
+	return violations, err
 }
 
 // keepLogs copies the logs of the proxies to the folder that KEEP_LOGS names.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -44,13 +44,15 @@
 	promoteDelay time.Duration
 	report       func(s *server) // writes the server's entry to the store
 
-	mu      sync.Mutex // guards the fields below and those of all servers
-	term    uint64     // highest term that a server has led
-	leader  *server    // the server promoted last
-	servers map[string]*server
-	commits []commitRecord
-	runs    []runRecord
-	arrived map[string]string // server that a client's statement reached, by request ID
+	mu        sync.Mutex // guards the fields below and those of all servers
+	term      uint64     // highest term that a server has led
+	leader    *server    // the server promoted last
+	servers   map[string]*server
+	commits   []commitRecord
+	runs      []runRecord
+	island    map[string]bool   // servers on the far side of a partition
+	islandIPs map[string]bool   // addresses of the VMs there
+	arrived   map[string]string // server that a client's statement reached, by request ID
 }
 
 // oldPrimaryLimit is how long a replaced primary goes on when it can reach the new one.
@@ -131,7 +133,7 @@
 	if s == nil {
 		return false
 	}
-	if g.leader == s {
+	if g.leader == s && s.primary {
 		return true
 	}
 	time.AfterFunc(g.promoteDelay, func() { g.takeLead(s) })
@@ -140,7 +142,7 @@
 
 func (g *group) takeLead(s *server) {
 	g.mu.Lock()
-	if g.servers[s.id] != s || g.leader == s {
+	if g.servers[s.id] != s || g.leader == s && s.primary {
 		g.mu.Unlock()
 		return
 	}
@@ -148,14 +150,44 @@
 	g.term++
 	g.leader, s.primary, s.term = s, true, g.term
 	for _, other := range g.servers {
-		if other != s && !other.primary {
+		if other != s && !other.primary && !g.separated(s, other) {
 			other.follow(s)
 		}
 	}
 	g.mu.Unlock()
 	note("promotion of %s takes effect: it leads term %d with %d commits; %s was the primary", s.id, s.term, len(s.log), old.id)
 	g.report(s)
-	time.AfterFunc(oldPrimaryLimit, func() { old.stepDown(g.currentTerm()) })
+	if old != s {
+		time.AfterFunc(oldPrimaryLimit, func() { g.endOldPrimary(old) })
+	}
+}
+
+// endOldPrimary makes a replaced primary step down, unless it cannot reach the new one.
+func (g *group) endOldPrimary(old *server) {
+	g.mu.Lock()
+	apart := g.separated(old, g.leader)
+	g.mu.Unlock()
+	if !apart {
+		old.stepDown(g.currentTerm())
+	}
+}
+
+// separated reports whether a partition separates two servers. The group's mutex must be
+// held.
+func (g *group) separated(a, b *server) bool { return g.island[a.id] != g.island[b.id] }
+
+// partition separates servers and addresses of VMs from all others; nil ends it.
+func (g *group) partition(servers, ips map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.island, g.islandIPs = servers, ips
+}
+
+// unreachable reports whether a partition separates a server from an address.
+func (s *server) unreachable(ip string) bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.group.island[s.id] != s.group.islandIPs[ip]
 }
 
 func (g *group) currentTerm() uint64 {
@@ -176,14 +208,17 @@
 	s.log, s.term = append([]entry(nil), leader.log...), leader.term
 }
 
-// stepDown makes a primary of a lower term a replica.
+// stepDown makes a primary of a lower term a replica. While no other server has been
+// promoted, the group has no primary then.
 func (s *server) stepDown(term uint64) {
 	g := s.group
 	g.mu.Lock()
-	changed := s.primary && s.term < term && g.leader != s
+	changed := s.primary && s.term < term
 	if changed {
 		s.primary = false
-		s.follow(g.leader)
+		if g.leader != s && !g.separated(s, g.leader) {
+			s.follow(g.leader)
+		}
 	}
 	g.mu.Unlock()
 	if changed {
@@ -210,7 +245,7 @@
 			return
 		}
 		for _, other := range g.servers {
-			if other != s && !other.primary && len(other.log) < n {
+			if other != s && !other.primary && !g.separated(s, other) && len(other.log) < n {
 				other.log, other.term = append(other.log[:len(other.log):len(other.log)], s.log[len(other.log):n]...), term
 			}
 		}
@@ -241,6 +276,17 @@
 	}
 }
 
+// heldUp waits while a partition separates the server from an address. It reports whether
+// there was one: the connection, which the other end has given up, ends then.
+func (s *server) heldUp(ip string) bool {
+	held := false
+	for s.unreachable(ip) {
+		held = true
+		time.Sleep(20 * time.Millisecond)
+	}
+	return held
+}
+
 // serverConn is one connection to a server.
 type serverConn struct {
 	server   *server
@@ -280,8 +326,9 @@
 		g.mu.Unlock()
 	}()
 	r := bufio.NewReaderSize(nc, 4<<10)
+	ip, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
 	first, err := readMessage(r)
-	if err != nil {
+	if err != nil || s.heldUp(ip) {
 		return
 	}
 	fields := strings.Fields(first)
@@ -312,7 +359,7 @@
 	c := &serverConn{server: s, prepared: map[string]string{}}
 	for {
 		line, err := readMessage(r)
-		if err != nil {
+		if err != nil || s.heldUp(ip) {
 			return
 		}
 		word, rest, _ := strings.Cut(line, " ")
