--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/egretroad ] || exit 2
-exec target/review-standin linefeed "$folder/record.txt"
+exec target/review-standin split "$folder/record.txt"
