Close a leak in the partition of a case of the review

A VM's own entry kept its direct address in the list of VMs, which the VMs pass on to each other, so that some links bypassed the relays.

--- a/review/standin/cluster_test.go
+++ b/review/standin/cluster_test.go
@@ -130,7 +130,7 @@
 	}
 	v := &vm{cluster: c, name: fmt.Sprintf("front-%s-%d", zone, inZone), zone: zone, side: side, ip: c.network.cuts.VMAddr(side, onSide)}
 	c.vms = append(c.vms, v)
-	return v, c.network.add(v.name, v.ip, v.address(c.ports.control))
+	return v, c.network.add(v.name, v.address(c.ports.control))
 }
 
 // close ends all processes and stand-ins.
--- a/review/standin/network_test.go
+++ b/review/standin/network_test.go
@@ -27,7 +27,6 @@
 
 	mu     sync.Mutex        // guards the fields below
 	relays map[string]string // address of the relay, by VM
-	ips    map[string]string // address of the VM, by VM
 }
 
 // platformAddr is the store's address in the model of the network.
@@ -38,13 +37,13 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &fleetNetwork{store: store, listener: listener, cuts: network.New(dataCentres), relays: map[string]string{}, ips: map[string]string{}}
+	n := &fleetNetwork{store: store, listener: listener, cuts: network.New(dataCentres), relays: map[string]string{}}
 	go func() { _ = http.Serve(listener, n) }()
 	return n, nil
 }
 
 // add starts the relay of a VM.
-func (n *fleetNetwork) add(vm, ip, peerAddr string) error {
+func (n *fleetNetwork) add(vm, peerAddr string) error {
 	target, err := netip.ParseAddrPort(peerAddr)
 	if err != nil {
 		return err
@@ -55,7 +54,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.relays[vm], n.ips[vm] = r.Addr(), ip
+	n.relays[vm] = r.Addr()
 	return nil
 }
 
@@ -87,7 +86,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/objects/egretroad-vms" {
-		body = n.withRelays(body, source.Addr().String())
+		body = n.withRelays(body)
 	}
 	maps.Copy(w.Header(), http.Header{"Content-Type": response.Header["Content-Type"]})
 	w.WriteHeader(response.StatusCode)
@@ -107,8 +106,9 @@
 	return true
 }
 
-// withRelays replaces the addresses of other VMs in a list by those of their relays.
-func (n *fleetNetwork) withRelays(body []byte, requester string) []byte {
+// withRelays replaces the addresses of the VMs in a list by those of their relays. A VM gets
+// its own one as well: VMs pass the list on to each other.
+func (n *fleetNetwork) withRelays(body []byte) []byte {
 	var list struct {
 		Items []struct {
 			Meta json.RawMessage `json:"meta"`
@@ -126,7 +126,7 @@
 		var meta struct {
 			Name string `json:"name"`
 		}
-		if json.Unmarshal(item.Meta, &meta) == nil && n.relays[meta.Name] != "" && n.ips[meta.Name] != requester {
+		if json.Unmarshal(item.Meta, &meta) == nil && n.relays[meta.Name] != "" {
 			item.Spec["peerAddr"] = n.relays[meta.Name]
 		}
 	}
