--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -29,6 +29,7 @@
 	"egretroad/tools/measure/replay"
 	"egretroad/tools/measure/report"
 	"egretroad/tools/measure/restart"
+	"egretroad/tools/measure/silence"
 )
 
 // runTimeout bounds one measurement, including the build of the program.
@@ -48,6 +49,7 @@
 	"reads":        reads.Run,
 	"replay":       replay.Run,
 	"restart":      restart.Run,
+	"silence":      silence.Run,
 }
 
 // OutOfBoundsError reports a measurement whose figures are outside their bounds.
