Report links that do not respond and VMs that wait to rejoin

An incident's record could not tell whether a VM lacked changes because the others held it for dead, or because its links had gone silent. Links that are closed for silence are logged and counted, control_awaits_rejoin tells that a VM is held for dead. No change of behaviour.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -110,7 +110,7 @@
 		m.rejoin(r.Incarnation + 1)
 		return
 	}
-	if r.Status != StatusDead || m.self.rejoinAt != 0 {
+	if r.Status != StatusDead || m.awaitsRejoin() {
 		return
 	}
 	m.handleFalseDetection()
@@ -140,10 +140,15 @@
 	dead := Record{ID: m.cfg.Self.ID, Incarnation: m.self.incarnation, Status: StatusDead}
 	m.members.merge(dead, "declared dead by other VMs", m.now)
 	m.log("self_thought_dead", "incarnation", m.self.incarnation, "rejoin_in", wait)
+	m.reportWatchState()
 }
 
+// awaitsRejoin reports whether the other VMs hold this one for dead and it waits before it
+// rejoins.
+func (m *Machine) awaitsRejoin() bool { return m.self.rejoinAt != 0 }
+
 func (m *Machine) rejoinWhenDue() {
-	if m.self.rejoinAt != 0 && m.now >= m.self.rejoinAt {
+	if m.awaitsRejoin() && m.now >= m.self.rejoinAt {
 		m.rejoin(m.self.incarnation + 1)
 	}
 }
@@ -159,12 +164,13 @@
 	vm := m.cfg.Self
 	m.members.merge(Record{ID: vm.ID, Incarnation: incarnation, Status: status, VM: &vm}, "this VM", m.now)
 	m.log("self_rejoined", "incarnation", incarnation)
+	m.reportWatchState()
 	m.self.announced = false
 }
 
 // announceWhenReady broadcasts this VM's record once it can serve.
 func (m *Machine) announceWhenReady() {
-	if m.self.announced || !m.Ready() || m.self.rejoinAt != 0 {
+	if m.self.announced || !m.Ready() || m.awaitsRejoin() {
 		return
 	}
 	m.self.announced = true
@@ -218,7 +224,7 @@
 // sendHeartbeats sends the heartbeats that are due. A VM that cannot serve yet
 // sends none.
 func (m *Machine) sendHeartbeats() {
-	if !m.self.announced || m.self.rejoinAt != 0 {
+	if !m.self.announced || m.awaitsRejoin() {
 		return
 	}
 	if m.now >= m.timers.heartbeat {
@@ -288,7 +294,7 @@
 // detectFailures probes monitored VMs that are silent, and reports those that
 // exceed the silence limit.
 func (m *Machine) detectFailures() {
-	if !m.self.announced || m.self.rejoinAt != 0 {
+	if !m.self.announced || m.awaitsRejoin() {
 		return
 	}
 	var silent []string
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -75,7 +75,7 @@
 	if !m.Ready() {
 		waiting = append(waiting, "catalogue and groups, from the store or a peer")
 	}
-	if m.self.rejoinAt != 0 {
+	if m.awaitsRejoin() {
 		waiting = append(waiting, "rejoin in "+(m.self.rejoinAt-m.now).String())
 	}
 	if m.store.watch.inFlight && m.store.longWatch {
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -50,6 +50,7 @@
 	revision     *expvar.Int  // highest revision in the snapshot
 	vms          *expvar.Int  // VMs in the snapshot
 	watching     *expvar.Int  // 1: this VM watches the store
+	awaitsRejoin *expvar.Int  // 1: the other VMs hold this one for dead
 	contact      atomic.Int64 // time up to which the store's changes have been read, on CLOCK_BOOTTIME; 0: never
 }
 
@@ -73,6 +74,7 @@
 		revision:       d.Metrics.Int("control", "revision"),
 		vms:            d.Metrics.Int("control", "vms"),
 		watching:       d.Metrics.Int("control", "watching"),
+		awaitsRejoin:   d.Metrics.Int("control", "awaits_rejoin"),
 	}
 	d.Metrics.Gauge("control_watch_age_seconds", "Time since the store last answered the watch on which this VM depends.", func() float64 {
 		return (clock.Boottime() - time.Duration(x.contact.Load())).Seconds()
@@ -178,10 +180,16 @@
 
 func (x *executor) reportWatch(e control.WatchState) {
 	x.contact.Store(int64(e.Contact))
-	x.watching.Set(0)
-	if e.Watching {
-		x.watching.Set(1)
+	x.watching.Set(toInt(e.Watching))
+	x.awaitsRejoin.Set(toInt(e.AwaitsRejoin))
+}
+
+// toInt returns 1 for true.
+func toInt(b bool) int64 {
+	if b {
+		return 1
 	}
+	return 0
 }
 
 func (x *executor) writeLog(e control.Log) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -160,7 +160,7 @@
 // rejoinIfDelisted rejoins immediately if this VM is missing from the platform's list.
 func (m *Machine) rejoinIfDelisted() {
 	own := m.members.members[m.cfg.Self.ID].record
-	if own.Status == StatusDead && m.self.rejoinAt == 0 {
+	if own.Status == StatusDead && !m.awaitsRejoin() {
 		m.rejoin(m.self.incarnation + 1)
 	}
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -35,10 +35,11 @@
 
 // WatchState reports what a VM knows of the watch on the platform's store, for metrics.
 // Contact is when the store last answered the watch on which the VM depends, on
-// CLOCK_BOOTTIME; 0: never.
+// CLOCK_BOOTTIME; 0: never. AwaitsRejoin is set while the other VMs hold this one for dead.
 type WatchState struct {
-	Watching bool
-	Contact  time.Duration
+	Watching     bool
+	Contact      time.Duration
+	AwaitsRejoin bool
 }
 
 // EffectName implements reducer.Effect.
@@ -116,7 +117,7 @@
 }
 
 func (m *Machine) reportWatchState() {
-	m.emit(WatchState{Watching: m.watch.watching, Contact: m.watchContact()})
+	m.emit(WatchState{Watching: m.watch.watching, Contact: m.watchContact(), AwaitsRejoin: m.awaitsRejoin()})
 }
 
 // announceWatchContact tells the other VMs of the data centre that they need not watch.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -223,6 +223,7 @@
 	s := newServerLink(n, l)
 	err = s.run()
 	l.close(err)
+	n.reportUnresponsive(l, "accepted")
 	s.closeLanes()
 	n.stats.links.Add(-1)
 	n.mu.Lock()
@@ -230,6 +231,16 @@
 	n.mu.Unlock()
 }
 
+// reportUnresponsive logs and counts a closed link whose peer did not respond.
+func (n *Node) reportUnresponsive(l *link, side string) {
+	var unresponsive *UnresponsiveError
+	if !errors.As(l.closeErr(), &unresponsive) {
+		return
+	}
+	n.stats.linksUnresponsive.Add(1)
+	n.log.Info("peer_link_unresponsive", "peer", l.vm, "side", side, "silence", unresponsive.Silence)
+}
+
 func (n *Node) addIncoming(l *link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -382,6 +393,7 @@
 	go func() {
 		defer n.goroutines.Done()
 		c.run()
+		n.reportUnresponsive(c.link, "dialed")
 	}()
 	return c, nil
 }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -16,6 +16,7 @@
 	laneSent, laneReceived       *expvar.Int // bytes
 	notificationsDropped         *expvar.Int // one-way messages dropped
 	links                        *expvar.Int
+	linksUnresponsive            *expvar.Int // links closed because their peer did not respond
 	lanesOpened                  *expvar.Int // lanes opened by this proxy
 }
 
@@ -27,6 +28,7 @@
 		laneReceived:         m.Int(metricsGroup, "lane_received_bytes"),
 		notificationsDropped: m.Int(metricsGroup, "notifications_dropped"),
 		links:                m.Int(metricsGroup, "links"),
+		linksUnresponsive:    m.Int(metricsGroup, "links_unresponsive"),
 		lanesOpened:          m.Int(metricsGroup, "lanes_opened"),
 	}
 }
