Keep VMs that wait to rejoin up to date

Callers saw routes refused by single VMs for 4 to 16 s after they were acknowledged (CONFIG). Cause: a VM that the others hold for dead is left out of what they send. It waits up to 30 s to rejoin, and did not count itself among the watchers either, so it read the store once a minute. A VM that hears nobody and that the store refuses waited for messages that did not come. The record shows contacts of 8.95 and 17.0 s: waits of 8 and 16 s. Change: a VM that waits to rejoin watches the store; one that neither the store nor another VM tells of changes fetches copies. Conclusion: why such a VM is held for dead again and again, long after the disruption, is a fault of its own.

--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -101,6 +101,7 @@
 	ids         []string
 	partitioned map[string]bool // data centres partitioned from the store and all other data centres
 	refused     map[string]bool // VMs that the store refuses
+	muted, deaf map[string]bool // VMs whose one-way messages get lost, and VMs to which they get lost
 	silent      bool            // the store's refused calls end at their time-out, not at once
 	queue       []delivery
 	messages    int
@@ -120,7 +121,7 @@
 	s := &sim{
 		now:   time.Hour,
 		store: &fakeStore{objects: map[string]platform.Object{}},
-		nodes: map[string]*node{}, partitioned: map[string]bool{}, refused: map[string]bool{},
+		nodes: map[string]*node{}, partitioned: map[string]bool{}, refused: map[string]bool{}, muted: map[string]bool{}, deaf: map[string]bool{},
 		opts: control.DefaultOptions(), fail: fail,
 	}
 	var vms []topology.VM
@@ -395,7 +396,7 @@
 
 func (s *sim) send(from *node, to string, e control.Notify) {
 	s.messages++
-	if uint64(s.messages)*2654435761%100 < s.lossPercent {
+	if uint64(s.messages)*2654435761%100 < s.lossPercent || s.muted[from.vm.ID] || s.deaf[to] {
 		return
 	}
 	s.schedule(simTick/10, func() {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -255,7 +255,7 @@
 
 // fetchWhenDue fetches from a peer whose digests have differed for FetchDelay. A fetch in
 // flight holds up the next one for fetchHedgeDelay at most, since its peer may be silent.
-// Before the machine is ready it fetches from seeds.
+// Before the machine is ready, and while nobody sends it changes, it fetches from seeds.
 func (m *Machine) fetchWhenDue() {
 	for vm, startedAt := range m.sync.fetchStarted {
 		if m.now-startedAt > m.opts.FetchTimeout {
@@ -269,6 +269,10 @@
 		}
 		return
 	}
+	if m.getsNoChanges() && m.now >= m.sync.nextSeedFetch {
+		m.fetchFromSeeds()
+		return
+	}
 	for _, startedAt := range m.sync.fetchStarted {
 		if m.now-startedAt < fetchHedgeDelay {
 			return
@@ -294,6 +298,12 @@
 	m.fetchLastValid()
 }
 
+// getsNoChanges reports whether the store does not serve this VM and no other VM tells it of
+// changes, because they hold it for dead or because their messages do not arrive.
+func (m *Machine) getsNoChanges() bool {
+	return (m.awaitsRejoin() || m.isolated()) && !m.hasWatchContact()
+}
+
 // fetchLastValid requests from a peer the last valid value of objects that have none
 // in force here. Digests do not show this difference because the newest version is
 // the same; inverting the digests of their buckets makes the peer send them.
@@ -333,8 +343,7 @@
 	m.emit(FetchCopy{From: vm, Request: m.newFetchRequest()})
 }
 
-// fetchFromSeeds fetches copies from the next seeds, in round-robin order, while
-// this VM is not ready.
+// fetchFromSeeds fetches copies from the next seeds, in round-robin order.
 func (m *Machine) fetchFromSeeds() {
 	m.sync.nextSeedFetch = m.now + m.jitter(time.Second)
 	seeds := m.seeds()
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -52,15 +52,18 @@
 }
 
 // isWatcher reports whether this VM watches the store. A VM that the store does not serve
-// leaves it to any VM that it serves, so that only the first of the order goes on probing.
+// leaves it to any VM that it serves, so that only the first of the order goes on probing. A
+// VM that the others hold for dead gets no changes from them.
 func (m *Machine) isWatcher() bool {
-	if m.everyVMWatches() {
+	if m.everyVMWatches() || m.awaitsRejoin() {
 		return true
 	}
 	rank := slices.Index(m.ring.watchers, m.cfg.Self.ID)
 	switch {
-	case rank <= 0:
-		return rank == 0
+	case rank < 0: // leaving
+		return m.now >= m.takeoverAt(len(m.ring.watchers), m.ring.watchers)
+	case rank == 0:
+		return true
 	case m.now-m.ownContact() <= m.opts.WatchContactLimit:
 		return m.now >= m.takeoverAt(rank, m.ring.watchers[:rank])
 	default:
@@ -92,6 +95,16 @@
 	return contact
 }
 
+// hasWatchContact reports whether the store serves a watch on which this VM depends. A VM
+// that the others hold for dead depends on its own one.
+func (m *Machine) hasWatchContact() bool {
+	contact := m.watchContact()
+	if m.awaitsRejoin() {
+		contact = m.ownContact()
+	}
+	return m.now-contact <= m.opts.WatchContactLimit
+}
+
 // watchWorksInOwnDataCentre reports whether the store serves a VM of this data centre that
 // watches it and relays what it reads.
 func (m *Machine) watchWorksInOwnDataCentre() bool {
@@ -123,7 +136,7 @@
 // announceWatchContact tells the other VMs of the data centre that they need not watch.
 func (m *Machine) announceWatchContact() {
 	age := m.now - m.ownContact()
-	if !m.watch.watching || m.everyVMWatches() || age > m.opts.WatchContactLimit || m.now-m.watch.announced < m.opts.MinContactInterval {
+	if !m.watch.watching || m.everyVMWatches() || m.awaitsRejoin() || age > m.opts.WatchContactLimit || m.now-m.watch.announced < m.opts.MinContactInterval {
 		return
 	}
 	m.watch.announced = m.now
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -164,3 +165,46 @@
 	s.advance(2 * time.Second)
 	g.Expect(s.watchers()).To(HaveLen(3))
 }
+
+// fleetWithWaitingVM returns a fleet in which the others have held a VM for dead several
+// times, because its messages got lost for seconds, so that it waits long to rejoin. The
+// messages to it get lost from then on. It does not watch the store.
+func fleetWithWaitingVM(fail func(string, ...any)) (*sim, *node) {
+	s := newPlatformSim(3, 14, fail)
+	s.advance(10 * time.Second)
+	n := s.nodes[s.ids[slices.IndexFunc(s.ids, func(id string) bool { return !slices.Contains(s.watchers(), id) })]]
+	waitsLong := func(line string) bool { return strings.Contains(line, "rejoin_in 8s") }
+	for began := s.now; !slices.ContainsFunc(n.logs, waitsLong); s.advance(simTick) {
+		s.muted[n.vm.ID] = (s.now-began)%(3*time.Second) > time.Second
+		if s.now-began > time.Minute {
+			fail("not held for dead often enough: %v", n.logs)
+		}
+	}
+	s.muted[n.vm.ID], s.deaf[n.vm.ID] = false, true
+	return s, n
+}
+
+func TestChangeReachesVMThatWaitsToRejoin(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := fleetWithWaitingVM(t.Fatalf)
+	expectChangeInForce(s, g)
+}
+
+func TestChangeReachesVMThatWaitsToRejoinAndThatTheStoreRefuses(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			g := NewWithT(t)
+			s, waiting := fleetWithWaitingVM(t.Fatalf)
+			s.refused[waiting.vm.ID], s.silent = true, silent
+			expectChangeInForce(s, g)
+		})
+	}
+}
+
+func TestChangeReachesVMThatHearsNobodyAndThatTheStoreRefuses(t *testing.T) {
+	withRefusals(t, func(g *WithT, s *sim) {
+		id := s.ids[slices.IndexFunc(s.ids, func(id string) bool { return !slices.Contains(s.watchers(), id) })]
+		s.refused[id], s.deaf[id] = true, true
+		expectChangeInForce(s, g)
+	})
+}
