Move the fleet of processes on the users' platform to the stand-ins

Names of the users' platform belong to its adapter and the stand-ins (TestPlatformNamesStayInAdapter failed since the fleet was added). No change of behaviour.

--- a/tools/measure/silence/proxies.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -1,4 +1,7 @@
-package silence
+// Package platformfleet runs real proxies as separate processes on the users' platform, of
+// which the store and the servers are stand-ins. The connections between the proxies, and
+// from them to the store, pass through relays, which can make them silent.
+package platformfleet
 
 import (
 	"bufio"
@@ -39,27 +42,27 @@
 	probeTimeout = 2 * time.Second
 )
 
-// ProxyError reports a failed operation on a proxy process.
-type ProxyError struct {
+// VMError reports a failed operation on a proxy process.
+type VMError struct {
 	VM    string
 	Cause error
 }
 
-func (e *ProxyError) Error() string { return fmt.Sprintf("proxy %s: %v", e.VM, e.Cause) }
+func (e *VMError) Error() string { return fmt.Sprintf("proxy %s: %v", e.VM, e.Cause) }
 
 // Unwrap returns the cause.
-func (e *ProxyError) Unwrap() error { return e.Cause }
+func (e *VMError) Unwrap() error { return e.Cause }
+
+// Fleet is a running deployment with one group of three servers.
+type Fleet struct {
+	Links *Links
+	VMs   []*VM
 
-// proxies is a fleet of real proxy processes on the users' platform, of which the store and
-// the servers are stand-ins.
-type proxies struct {
 	binary string
 	dir    string // settings and logs
 	store  *metastore.Store
 	facade *httptest.Server
 	group  *linegroup.Group
-	links  *links
-	vms    []*proxy
 	// storeAddress is that of the relay to the store.
 	storeAddress string
 
@@ -68,13 +71,14 @@
 	hosts   []string
 }
 
-// proxy is one process.
-type proxy struct {
-	fleet *proxies
-	index int
-	name  string
+// VM is an entry VM with its proxy process.
+type VM struct {
+	Index int
+	Name  string
+	IP    string
+
+	fleet *Fleet
 	zone  int
-	ip    string
 
 	mu   sync.Mutex // guards the fields below
 	cmd  *exec.Cmd
@@ -83,17 +87,18 @@
 
 func zoneName(i int) string { return string(rune('a' + i)) }
 
-// startProxies starts a fleet of vmsEach VMs in each data centre and waits until all are
-// ready. The caller must call stop.
-func startProxies(ctx context.Context, binary, dir string, vmsEach int) (*proxies, error) {
-	f := &proxies{binary: binary, dir: dir, links: newLinks()}
+// Start starts a fleet of vmsEach VMs in each of three data centres and waits until all are
+// ready. Settings and logs of the processes go to dir. The caller must call Stop, also after
+// an error.
+func Start(ctx context.Context, binary, dir string, vmsEach int) (*Fleet, error) {
+	f := &Fleet{binary: binary, dir: dir, Links: newLinks()}
 	var err error
 	if f.store, err = metastore.New(); err != nil {
 		return f, err
 	}
 	f.store.PageSize = 500
-	f.facade = httptest.NewServer(f.links.withRelays(f.store.Addr()))
-	if f.storeAddress, err = f.links.addStore(f.facade.Listener.Addr().String()); err != nil {
+	f.facade = httptest.NewServer(f.Links.withRelays(f.store.Addr()))
+	if f.storeAddress, err = f.Links.addStore(f.facade.Listener.Addr().String()); err != nil {
 		return f, err
 	}
 	if f.group, err = linegroup.New(serviceName, "s-a", "s-b", "s-c"); err != nil {
@@ -101,18 +106,18 @@
 	}
 	f.store.Promote = func(_, server string) bool { return f.group.Promote(server) && f.registerServers() }
 	f.registerServers()
-	f.addRoute("first")
+	f.AddRoute("first")
 	for i := range dataCentres * vmsEach {
 		if err := f.add(i); err != nil {
 			return f, err
 		}
 	}
 	// A VM that hears of another one before it has read the list would bypass its relay.
-	for _, v := range f.vms {
-		if err := v.start(); err != nil {
+	for _, v := range f.VMs {
+		if err := v.Start(); err != nil {
 			return f, err
 		}
-		if err := v.awaitReady(ctx); err != nil {
+		if err := v.AwaitReady(ctx); err != nil {
 			return f, err
 		}
 	}
@@ -120,7 +125,7 @@
 }
 
 // registerServers writes the servers' entries. It always reports true.
-func (f *proxies) registerServers() bool {
+func (f *Fleet) registerServers() bool {
 	for i := range dataCentres {
 		id, role := "s-"+zoneName(i), "replica"
 		if f.group.Server(id).IsPrimary() {
@@ -134,8 +139,8 @@
 	return true
 }
 
-// addRoute adds a route as the operator does and returns when the store acknowledged it.
-func (f *proxies) addRoute(host string) time.Time {
+// AddRoute adds a route as the operator does and returns when the store acknowledged it.
+func (f *Fleet) AddRoute(host string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
@@ -156,48 +161,48 @@
 
 // add adds a VM, which does not run yet. Its entry is written before, so that all VMs learn
 // the addresses of the relays from their first list.
-func (f *proxies) add(index int) error {
+func (f *Fleet) add(index int) error {
 	zone := index % dataCentres
-	v := &proxy{
-		fleet: f, index: index, zone: zone, name: fmt.Sprintf("vm-%s-%d", zoneName(zone), index/dataCentres),
-		ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%100, zone+1, index/dataCentres+1),
+	v := &VM{
+		fleet: f, Index: index, zone: zone, Name: fmt.Sprintf("vm-%s-%d", zoneName(zone), index/dataCentres),
+		IP: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%100, zone+1, index/dataCentres+1),
 	}
-	f.store.Put(kindVMs, v.name, map[string]any{
-		"id": v.name, "dataCentre": zoneName(zone), "region": "r-" + zoneName(zone),
+	f.store.Put(kindVMs, v.Name, map[string]any{
+		"id": v.Name, "dataCentre": zoneName(zone), "region": "r-" + zoneName(zone),
 		"peerAddr": v.address(controlPort), "callerAddr": v.address(frontPort), "state": "live",
 	})
-	f.vms = append(f.vms, v)
-	return f.links.addPeer(v.name, v.address(controlPort))
+	f.VMs = append(f.VMs, v)
+	return f.Links.addPeer(v.Name, v.address(controlPort))
 }
 
-// awaitReady waits until the VM reports itself ready.
-func (v *proxy) awaitReady(ctx context.Context) error {
+// AwaitReady waits until the VM reports itself ready.
+func (v *VM) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !v.isReady(ctx) {
 		select {
 		case <-ctx.Done():
-			return &ProxyError{VM: v.name, Cause: ctx.Err()}
+			return &VMError{VM: v.Name, Cause: ctx.Err()}
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 	return nil
 }
 
-// bypassing returns the number of connections between VMs that bypass the relays.
-func (f *proxies) bypassing() (int, error) {
+// Bypassing returns the number of connections between VMs that bypass the relays.
+func (f *Fleet) Bypassing() (int, error) {
 	addresses := map[netip.AddrPort]bool{}
-	for _, v := range f.vms {
+	for _, v := range f.VMs {
 		addresses[netip.MustParseAddrPort(v.address(controlPort))] = true
 	}
-	return directLinks(addresses)
+	return countDirectLinks(addresses)
 }
 
-// stop ends all processes and stand-ins.
-func (f *proxies) stop() {
-	for _, v := range f.vms {
-		v.signal(syscall.SIGCONT)
-		v.kill()
+// Stop ends all processes and stand-ins.
+func (f *Fleet) Stop() {
+	for _, v := range f.VMs {
+		v.Signal(syscall.SIGCONT)
+		v.Kill()
 	}
 	if f.facade != nil {
 		f.facade.CloseClientConnections()
@@ -212,10 +217,10 @@
 	}
 }
 
-func (v *proxy) address(port int) string { return net.JoinHostPort(v.ip, fmt.Sprint(port)) }
+func (v *VM) address(port int) string { return net.JoinHostPort(v.IP, fmt.Sprint(port)) }
 
 // settings returns the platform's settings file.
-func (v *proxy) settings() string {
+func (v *VM) settings() string {
 	zones := ""
 	for i := range dataCentres {
 		zones += fmt.Sprintf("%s = \"r-%s\"\n", zoneName(i), zoneName(i))
@@ -243,20 +248,20 @@
 [cloud-api]
 address = %q
 duties = ["failover"]
-`, v.name, v.ip, zoneName(v.zone), zoneName(v.zone), statusPort, statusPort+10, zones,
+`, v.Name, v.IP, zoneName(v.zone), zoneName(v.zone), statusPort, statusPort+10, zones,
 		v.address(frontPort), v.address(readyPort), v.address(controlPort),
 		int(graceTime.Seconds()), v.fleet.storeAddress, v.fleet.store.Addr())
 }
 
-// start starts the process.
-func (v *proxy) start() error {
-	file := filepath.Join(v.fleet.dir, v.name+".toml")
+// Start starts the process.
+func (v *VM) Start() error {
+	file := filepath.Join(v.fleet.dir, v.Name+".toml")
 	if err := os.WriteFile(file, []byte(v.settings()), 0o600); err != nil {
-		return &ProxyError{VM: v.name, Cause: err}
+		return &VMError{VM: v.Name, Cause: err}
 	}
-	log, err := os.OpenFile(filepath.Join(v.fleet.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(v.fleet.dir, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return &ProxyError{VM: v.name, Cause: err}
+		return &VMError{VM: v.Name, Cause: err}
 	}
 	cmd := exec.Command(v.fleet.binary, "node")
 	cmd.Env = append(os.Environ(), "EGRETROAD_NODE_FILE="+file, "GOMAXPROCS=1")
@@ -265,7 +270,7 @@
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		_ = log.Close() // the error of the start is returned
-		return &ProxyError{VM: v.name, Cause: err}
+		return &VMError{VM: v.Name, Cause: err}
 	}
 	done := make(chan struct{})
 	v.mu.Lock()
@@ -279,7 +284,8 @@
 	return nil
 }
 
-func (v *proxy) signal(s syscall.Signal) {
+// Signal sends a signal to the process, if it runs.
+func (v *VM) Signal(s syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.cmd != nil {
@@ -287,8 +293,8 @@
 	}
 }
 
-// kill kills the process and waits for its end.
-func (v *proxy) kill() {
+// Kill kills the process and waits for its end.
+func (v *VM) Kill() {
 	v.mu.Lock()
 	cmd, done := v.cmd, v.done
 	v.cmd = nil
@@ -300,20 +306,20 @@
 	<-done
 }
 
-// terminate stops the process as the platform does and waits for its end.
-func (v *proxy) terminate() {
+// Terminate stops the process as the platform does and waits for its end.
+func (v *VM) Terminate() {
 	v.mu.Lock()
 	done := v.done
 	v.mu.Unlock()
-	v.signal(syscall.SIGTERM)
+	v.Signal(syscall.SIGTERM)
 	select {
 	case <-done:
 	case <-time.After(graceTime):
 	}
-	v.kill()
+	v.Kill()
 }
 
-func (v *proxy) isReady(ctx context.Context) bool {
+func (v *VM) isReady(ctx context.Context) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.address(readyPort)+"/ready", nil)
 	if err != nil {
 		return false
@@ -327,9 +333,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// serves reports whether the VM accepts sessions of a database. known is false if it gave no
+// Serves reports whether the VM accepts sessions of a database. known is false if it gave no
 // answer.
-func (v *proxy) serves(host string) (accepted, known bool) {
+func (v *VM) Serves(host string) (accepted, known bool) {
 	conn, err := net.DialTimeout("tcp", v.address(frontPort), probeTimeout)
 	if err != nil {
 		return false, false
--- a/tools/measure/silence/network.go
+++ b/internal/standin/platformfleet/network.go
@@ -1,4 +1,4 @@
-package silence
+package platformfleet
 
 import (
 	"bufio"
@@ -16,10 +16,10 @@
 	"sync/atomic"
 )
 
-// links are the connections between the VMs and from them to the store. Each passes through
+// Links are the connections between the VMs and from them to the store. Each passes through
 // a relay that can make it silent for good: both ends stay connected, and what they send is
 // acknowledged and dropped.
-type links struct {
+type Links struct {
 	mu      sync.Mutex // guards the fields below
 	peers   []*connection
 	stores  map[string][]*connection // by IP address of the VM
@@ -34,14 +34,14 @@
 	ended   atomic.Bool
 }
 
-func newLinks() *links {
-	return &links{stores: map[string][]*connection{}, relays: map[string]string{}, refused: map[string]bool{}}
+func newLinks() *Links {
+	return &Links{stores: map[string][]*connection{}, relays: map[string]string{}, refused: map[string]bool{}}
 }
 
 // relay accepts connections and passes them on to target. With keepSource they go on from
 // the address that they came from. add receives each connection and the IP address of its
 // source. It returns the relay's address.
-func (l *links) relay(target string, keepSource bool, add func(c *connection, source string)) (string, error) {
+func (l *Links) relay(target string, keepSource bool, add func(c *connection, source string)) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -95,7 +95,7 @@
 }
 
 // addPeer starts the relay of a VM for other VMs.
-func (l *links) addPeer(name, target string) error {
+func (l *Links) addPeer(name, target string) error {
 	addr, err := l.relay(target, false, func(c *connection, _ string) { l.peers = append(l.peers, c) })
 	if err != nil {
 		return err
@@ -107,28 +107,28 @@
 }
 
 // addStore starts the relay to the store.
-func (l *links) addStore(target string) (string, error) {
+func (l *Links) addStore(target string) (string, error) {
 	return l.relay(target, true, func(c *connection, source string) { l.stores[source] = append(l.stores[source], c) })
 }
 
-// refuse starts or stops the refusal of the calls of a VM to the store.
-func (l *links) refuse(ip string, refused bool) {
+// Refuse starts or stops the refusal of the calls of a VM to the store.
+func (l *Links) Refuse(ip string, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refused[ip] = refused
 }
 
 // isRefused reports whether the store refuses a caller, given its IP address and port.
-func (l *links) isRefused(caller string) bool {
+func (l *Links) isRefused(caller string) bool {
 	ip, _, err := net.SplitHostPort(caller)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return err == nil && l.refused[ip]
 }
 
-// silencePeers makes a share of the open connections between VMs silent and returns their
+// SilencePeers makes a share of the open connections between VMs silent and returns their
 // number.
-func (l *links) silencePeers(random *rand.Rand, share float64) int {
+func (l *Links) SilencePeers(random *rand.Rand, share float64) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var n int
@@ -137,7 +137,7 @@
 }
 
 // silenceStore makes a VM's open connections to the store silent and returns their number.
-func (l *links) silenceStore(ip string) int {
+func (l *Links) SilenceStore(ip string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var n int
@@ -163,7 +163,7 @@
 
 // withRelays returns a handler that passes calls on to the store and replaces the addresses
 // of the VMs in the list of VMs by those of their relays.
-func (l *links) withRelays(store string) http.Handler {
+func (l *Links) withRelays(store string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.isRefused(r.RemoteAddr) {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -194,7 +194,7 @@
 	})
 }
 
-func (l *links) rewrite(body []byte) []byte {
+func (l *Links) rewrite(body []byte) []byte {
 	var list struct {
 		Items []struct {
 			Meta json.RawMessage `json:"meta"`
@@ -220,9 +220,9 @@
 	return rewritten
 }
 
-// directLinks returns the number of connections to one of the given addresses that bypass
+// countDirectLinks returns the number of connections to one of the given addresses that bypass
 // the relays: those that come from an address of a VM.
-func directLinks(addresses map[netip.AddrPort]bool) (int, error) {
+func countDirectLinks(addresses map[netip.AddrPort]bool) (int, error) {
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0, err
--- a/tools/measure/silence/silence.go
+++ b/tools/measure/silence/silence.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"egretroad/internal/standin/platformfleet"
 	"egretroad/tools/measure/report"
 )
 
@@ -64,7 +65,7 @@
 // run is one run of the measurement.
 type run struct {
 	env    *report.Env
-	fleet  *proxies
+	fleet  *platformfleet.Fleet
 	random *rand.Rand
 	plan   plan
 	began  time.Time
@@ -93,16 +94,16 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }() // best effort: it is a temporary directory
 	}
-	fleet, err := startProxies(ctx, env.Binary, dir, vmsEach)
-	defer fleet.stop()
+	fleet, err := platformfleet.Start(ctx, env.Binary, dir, vmsEach)
+	defer fleet.Stop()
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(warmUp)
 	random := rand.New(rand.NewPCG(env.Seed, 36))
-	r := &run{env: env, fleet: fleet, random: random, plan: drawPlan(random, len(fleet.vms)), began: time.Now()}
-	r.note("%d VMs, plan %+v", len(fleet.vms), r.plan)
-	direct, err := fleet.bypassing()
+	r := &run{env: env, fleet: fleet, random: random, plan: drawPlan(random, len(fleet.VMs)), began: time.Now()}
+	r.note("%d VMs, plan %+v", len(fleet.VMs), r.plan)
+	direct, err := fleet.Bypassing()
 	if err != nil {
 		return nil, err
 	}
@@ -128,14 +129,14 @@
 	var others sync.WaitGroup
 	refused := r.someVMs(r.plan.refusedShare)
 	for _, v := range refused {
-		r.fleet.links.refuse(v.ip, true)
+		r.fleet.Links.Refuse(v.IP, true)
 	}
 	for _, victims := range []struct {
-		vms  []*proxy
-		play func(*proxy)
+		vms  []*platformfleet.VM
+		play func(*platformfleet.VM)
 	}{
-		{r.someVMs(float64(r.plan.frozen) / float64(len(r.fleet.vms))), r.freeze},
-		{r.someVMs(float64(r.plan.restarted) / float64(len(r.fleet.vms))), r.restart},
+		{r.someVMs(float64(r.plan.frozen) / float64(len(r.fleet.VMs))), r.freeze},
+		{r.someVMs(float64(r.plan.restarted) / float64(len(r.fleet.VMs))), r.restart},
 	} {
 		others.Go(func() {
 			for _, v := range victims.vms {
@@ -154,53 +155,53 @@
 	}
 	others.Wait()
 	for _, v := range refused {
-		r.fleet.links.refuse(v.ip, false)
+		r.fleet.Links.Refuse(v.IP, false)
 	}
 	r.disrupted()
 	r.note("the series has ended")
 }
 
 // someVMs draws a share of the VMs, rounded to the nearest number.
-func (r *run) someVMs(share float64) []*proxy {
-	var chosen []*proxy
-	order := r.random.Perm(len(r.fleet.vms))
+func (r *run) someVMs(share float64) []*platformfleet.VM {
+	var chosen []*platformfleet.VM
+	order := r.random.Perm(len(r.fleet.VMs))
 	for _, i := range order[:int(share*float64(len(order))+0.5)] {
-		chosen = append(chosen, r.fleet.vms[i])
+		chosen = append(chosen, r.fleet.VMs[i])
 	}
 	return chosen
 }
 
 // sever makes connections silent.
 func (r *run) sever() {
-	peers := r.fleet.links.silencePeers(r.random, r.plan.peerShare)
+	peers := r.fleet.Links.SilencePeers(r.random, r.plan.peerShare)
 	stores := 0
 	for _, v := range r.someVMs(r.plan.storeShare) {
-		stores += r.fleet.links.silenceStore(v.ip)
+		stores += r.fleet.Links.SilenceStore(v.IP)
 	}
 	r.disrupted()
 	r.note("%d connections between VMs and %d to the store are silent", peers, stores)
 }
 
-func (r *run) freeze(v *proxy) {
-	v.signal(syscall.SIGSTOP)
+func (r *run) freeze(v *platformfleet.VM) {
+	v.Signal(syscall.SIGSTOP)
 	time.Sleep(freezeTime)
-	v.signal(syscall.SIGCONT)
+	v.Signal(syscall.SIGCONT)
 	r.disrupted()
-	r.note("%s was frozen", v.name)
+	r.note("%s was frozen", v.Name)
 }
 
-func (r *run) restart(v *proxy) {
-	if v.index%2 == 0 {
-		v.terminate()
+func (r *run) restart(v *platformfleet.VM) {
+	if v.Index%2 == 0 {
+		v.Terminate()
 	} else {
-		v.kill()
+		v.Kill()
 	}
 	time.Sleep(500 * time.Millisecond)
-	if err := v.start(); err != nil {
-		r.note("%s was not started again: %v", v.name, err)
+	if err := v.Start(); err != nil {
+		r.note("%s was not started again: %v", v.Name, err)
 	}
 	r.disrupted()
-	r.note("%s was restarted", v.name)
+	r.note("%s was restarted", v.Name)
 }
 
 // changeAfterSeries makes changes while no more disruptions happen.
@@ -214,19 +215,19 @@
 
 // change adds a route and probes it on all VMs until each serves it.
 func (r *run) change(ctx context.Context, host string) {
-	acknowledged := r.fleet.addRoute(host)
+	acknowledged := r.fleet.AddRoute(host)
 	r.note("route %s is acknowledged", host)
-	for _, v := range r.fleet.vms {
+	for _, v := range r.fleet.VMs {
 		r.probes.Go(func() { r.probe(ctx, v, host, acknowledged) })
 	}
 }
 
 // probe records the latest time at which a VM refused a route although the bound held.
-func (r *run) probe(ctx context.Context, v *proxy, host string, acknowledged time.Time) {
+func (r *run) probe(ctx context.Context, v *platformfleet.VM, host string, acknowledged time.Time) {
 	var refusedAt time.Time
 	for ctx.Err() == nil && time.Since(acknowledged) < probeLimit {
 		sent := time.Now()
-		accepted, known := v.serves(host)
+		accepted, known := v.Serves(host)
 		if accepted {
 			break
 		}
@@ -249,7 +250,7 @@
 
 // recordDelay records how long after its acknowledgement a change was last refused, unless
 // the fleet had been disrupted within stableWindow before that.
-func (r *run) recordDelay(v *proxy, host string, acknowledged, refusedAt time.Time) {
+func (r *run) recordDelay(v *platformfleet.VM, host string, acknowledged, refusedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if refusedAt.IsZero() || refusedAt.Sub(r.lastDisrupted) < stableWindow {
@@ -260,7 +261,7 @@
 	r.delays = append(r.delays, delay)
 	if delay > applyLimit {
 		r.late++
-		r.note("LATE: %s refused %s %.2f s after its acknowledgement, %.2f s after the last disruption", v.name, host, delay.Seconds(), refusedAt.Sub(r.lastDisrupted).Seconds())
+		r.note("LATE: %s refused %s %.2f s after its acknowledgement, %.2f s after the last disruption", v.Name, host, delay.Seconds(), refusedAt.Sub(r.lastDisrupted).Seconds())
 	}
 }
 
@@ -270,10 +271,10 @@
 	for _, d := range r.delays {
 		longest = max(longest, d)
 	}
-	result.Set("vms", float64(len(r.fleet.vms)))
+	result.Set("vms", float64(len(r.fleet.VMs)))
 	result.Set("unanswered_probes", float64(r.unanswered))
 	result.Set("longest_delay_s", longest.Seconds())
-	result.AtLeast("changes_by_vm", float64(len(r.delays)), float64(changesAfter*len(r.fleet.vms)))
+	result.AtLeast("changes_by_vm", float64(len(r.delays)), float64(changesAfter*len(r.fleet.VMs)))
 	result.AtMost("late", float64(r.late), 0)
 	result.AtMost("links_past_relays", float64(direct), 0)
 	return result
