Close links that carry one-way messages only when they go silent

VMs were held for dead again and again, and missed changes, long after open connections had gone silent. Cause: heartbeats, updates, probes and their replies have no response. A link was checked only while a call or a transaction was open on it, so a silent link with one-way messages was kept for two minutes. TCP does not help where something between the ends acknowledges. Calls that ended before the link was closed for them started the measurement of silence anew each time, so short calls kept a silent link as well. Change: a ping behind one-way messages proves their receipt; a link without this proof is closed. A call that is given up leaves a proof to be given. Not covered: the messages lost on the link until it is closed; heartbeats repair them.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -93,6 +93,7 @@
 		}
 		return response.Body, nil
 	case <-ctx.Done():
+		c.link.expectProof()
 		return fail(ctx.Err())
 	case <-c.link.closed:
 		return fail(c.link.closeErr())
--- a/internal/peer/clientlane.go
+++ b/internal/peer/clientlane.go
@@ -212,6 +212,7 @@
 	defer l.mu.Unlock()
 	if l.client != nil && !l.ended {
 		l.client.link.trySend(frame{Type: t, Number: l.number})
+		l.client.link.expectProof()
 	}
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -38,8 +38,8 @@
 	frameLaneCancel                      // no body
 	frameLaneClose                       // no body
 	frameLaneCredit                      // body: creditBody
-	framePing                            // no body
-	framePong                            // no body
+	framePing                            // no body; number: of the last one-way message before it
+	framePong                            // no body; number: that of the ping
 	frameTypeCount  = framePong
 )
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -53,6 +53,7 @@
 	writeBuffer []byte
 	spareBuffer []byte
 	writing     bool
+	oneWay      oneWay
 	cause       error
 	recovered   chan struct{} // non-nil while the peer is unresponsive; closed when that ends
 
@@ -97,6 +98,11 @@
 func (l *link) trySend(f frame) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.trySendLocked(f)
+}
+
+// trySendLocked is trySend with l.mu held.
+func (l *link) trySendLocked(f frame) bool {
 	if len(l.writeBuffer) > maxLinkBufferBytes || l.bufferFrame(f) != nil {
 		return false
 	}
@@ -159,8 +165,10 @@
 
 // checkLiveness is the link's failure detector, called at each check interval. While
 // responses are outstanding it pings a silent peer, then marks the link unresponsive,
-// then closes it.
+// then closes it. A link that carries one-way messages only is closed if their receipt is
+// not proven in time.
 func (l *link) checkLiveness(now time.Duration) {
+	transferTime := l.checkOneWay(now)
 	silence := now - time.Duration(l.lastRead.Load())
 	switch {
 	case l.outstanding.Load() == 0:
@@ -169,14 +177,68 @@
 	case silence < l.opts.PingAfter:
 		l.pingSent = false
 	case !l.pingSent:
-		l.pingSent = l.trySend(frame{Type: framePing})
-	case silence > l.opts.SilenceTimeout:
+		l.pingSent = l.ping()
+	case silence > l.opts.SilenceTimeout+transferTime:
 		l.close(&UnresponsiveError{Silence: silence})
 	case silence > l.opts.UnresponsiveAfter:
 		l.markUnresponsive()
 	}
 }
 
+// checkOneWay pings if the receipt of one-way messages is to be proven, and closes the link
+// if it was not proven in time and nothing else was received. It returns how long the
+// unproven messages may take to arrive.
+func (l *link) checkOneWay(now time.Duration) time.Duration {
+	l.mu.Lock()
+	o := &l.oneWay
+	pingDue, transferTime := o.pingDue(now, l.opts.ProofAfter), o.transferTime()
+	silence := now - time.Duration(l.lastRead.Load())
+	isSilent := o.unproven() && silence > l.opts.ProofTimeout+transferTime
+	l.mu.Unlock()
+	if isSilent && l.outstanding.Load() == 0 {
+		l.close(&UnresponsiveError{Silence: silence})
+	} else if pingDue {
+		l.ping()
+	}
+	return transferTime
+}
+
+// ping sends a ping and reports whether it was queued.
+func (l *link) ping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trySendLocked(frame{Type: framePing, Number: l.oneWay.recordPing()})
+}
+
+// notify queues a one-way message without blocking. It reports false if it was dropped.
+func (l *link) notify(payload []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.trySendLocked(frame{Type: frameNotify, Body: payload}) {
+		return false
+	}
+	l.addOneWay(len(payload))
+	return true
+}
+
+// addOneWay records a one-way message that is being sent; l.mu is held. The first one that
+// is unproven restarts the measurement of silence; see addOutstanding.
+func (l *link) addOneWay(size int) {
+	now := l.opts.Now()
+	if !l.oneWay.unproven() && l.outstanding.Load() == 0 {
+		l.lastRead.Store(int64(now))
+	}
+	l.oneWay.add(size, now)
+}
+
+// expectProof makes the link prove that its peer still responds, after the caller has
+// stopped waiting for a response.
+func (l *link) expectProof() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addOneWay(0)
+}
+
 // markUnresponsive makes awaitResponsive block, which holds back new work that would
 // have an unknown outcome if the link were lost.
 func (l *link) markUnresponsive() {
@@ -216,9 +278,15 @@
 }
 
 // addOutstanding counts an open call or lane. The first one restarts the measurement of
-// silence, since an idle link may have received nothing for a long time.
+// silence, since an idle link may have received nothing for a long time, unless the peer owes
+// a proof already.
 func (l *link) addOutstanding() {
-	if l.outstanding.Add(1) == 1 {
+	if l.outstanding.Add(1) != 1 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.oneWay.unproven() {
 		l.lastRead.Store(int64(l.opts.Now()))
 	}
 }
@@ -256,8 +324,11 @@
 		l.stats.countReceived(f.Type, len(f.Body)+frameHeaderBytes)
 		switch f.Type {
 		case framePing:
-			l.trySend(frame{Type: framePong})
+			l.trySend(frame{Type: framePong, Number: f.Number})
 		case framePong:
+			l.mu.Lock()
+			l.oneWay.recordPong(f.Number, l.opts.Now())
+			l.mu.Unlock()
 		default:
 			return f, nil
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -31,6 +31,8 @@
 	PingAfter         time.Duration // silence with responses outstanding before a ping is sent
 	UnresponsiveAfter time.Duration // silence after which new transactions are held back
 	SilenceTimeout    time.Duration // silence after which a link is closed
+	ProofAfter        time.Duration // time after which the receipt of one-way messages is to be proven
+	ProofTimeout      time.Duration // time without a proof after which a link with one-way messages only is closed
 	IdleTimeout       time.Duration // unused time after which an outgoing link is closed
 	MaxLinks          int           // maximum number of incoming links
 	Now               func() time.Duration
@@ -44,6 +46,7 @@
 		DialTimeout: time.Second, WriteTimeout: 2 * time.Second,
 		CheckInterval: 50 * time.Millisecond, PingAfter: 150 * time.Millisecond,
 		UnresponsiveAfter: 250 * time.Millisecond, SilenceTimeout: 1200 * time.Millisecond,
+		ProofAfter: 250 * time.Millisecond, ProofTimeout: 600 * time.Millisecond,
 		IdleTimeout: 2 * time.Minute, MaxLinks: 4096, Now: clock.Boottime,
 	}
 }
@@ -493,7 +496,7 @@
 }
 
 func (n *Node) sendNotification(l *link, payload []byte) {
-	if !l.trySend(frame{Type: frameNotify, Body: payload}) {
+	if !l.notify(payload) {
 		n.stats.notificationsDropped.Add(1)
 	}
 }
--- /dev/null
+++ b/internal/peer/silence_test.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"egretroad/internal/eventlog"
+	"egretroad/internal/metrics"
+	"egretroad/internal/topology"
+)
+
+// silentRelay passes connections on to a node. It can make the open ones silent for good:
+// both ends stay connected, and what they send is acknowledged and dropped.
+type silentRelay struct {
+	listener net.Listener
+	mu       sync.Mutex // guards open
+	open     []*atomic.Bool
+}
+
+func startSilentRelay(t *testing.T, target string) *silentRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	r := &silentRelay{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() }) // the test has ended
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close() // as the target refused it
+				continue
+			}
+			silent := &atomic.Bool{}
+			r.mu.Lock()
+			r.open = append(r.open, silent)
+			r.mu.Unlock()
+			go copyUnlessSilent(out, in, silent)
+			go copyUnlessSilent(in, out, silent)
+		}
+	}()
+	return r
+}
+
+func copyUnlessSilent(to, from net.Conn, silent *atomic.Bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !silent.Load() {
+			_, _ = to.Write(buffer[:n]) // the next read reports a closed connection
+		}
+		if err != nil {
+			if !silent.Load() {
+				_ = to.Close() // the other end has closed
+			}
+			return
+		}
+	}
+}
+
+// silenceAll makes all open connections silent.
+func (r *silentRelay) silenceAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, silent := range r.open {
+		silent.Store(true)
+	}
+}
+
+// relayedPair is two nodes with a relay in front of the second one, which collects the
+// one-way messages that it receives.
+type relayedPair struct {
+	a        *Node
+	relay    *silentRelay
+	mu       sync.Mutex // guards received
+	received map[string]int
+}
+
+func startRelayedPair(t *testing.T) *relayedPair {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p := &relayedPair{relay: startSilentRelay(t, listener.Addr().String()), received: map[string]int{}}
+	snapshot := &topology.Snapshot{VMs: map[string]topology.VM{"b": {ID: "b", PeerAddr: p.relay.listener.Addr().String()}}}
+	newNode := func(self string) *Node {
+		return NewNode(DefaultOptions(self, "127.0.0.1", []byte("key")), topology.NewPublisher(snapshot), eventlog.Discard(), metrics.NewRegistry())
+	}
+	p.a = newNode("a")
+	b := newNode("b")
+	b.Handle("tell", func(_ context.Context, _ string, body []byte) ([]byte, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.received[string(body)]++
+		return nil, nil
+	})
+	b.Start(listener)
+	local, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p.a.Start(local)
+	t.Cleanup(func() { p.a.Stop(); b.Stop() })
+	return p
+}
+
+// times returns how often a message was received.
+func (p *relayedPair) times(message string) func() int {
+	return func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.received[message]
+	}
+}
+
+const eventuallyTimeout = "20s"
+
+func TestOneWayMessagesArriveAfterTheirLinkHasGoneSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startRelayedPair(t)
+	p.a.Notify("b", "tell", []byte("before"))
+	g.Eventually(p.times("before"), eventuallyTimeout).Should(gomega.Equal(1))
+	p.relay.silenceAll()
+	g.Eventually(func() int {
+		p.a.Notify("b", "tell", []byte("after"))
+		return p.times("after")()
+	}, eventuallyTimeout, "100ms").Should(gomega.BeNumerically(">", 0))
+}
+
+// Each call ends before a silent link is closed for that call.
+func TestShortCallsReplaceTheirSilentLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startRelayedPair(t)
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err := p.a.Call(ctx, "b", "tell", []byte("x"))
+		return err
+	}
+	g.Eventually(call, eventuallyTimeout).Should(gomega.Succeed())
+	p.relay.silenceAll()
+	g.Eventually(call, eventuallyTimeout, "300ms").Should(gomega.Succeed())
+}
+
+// oneWayLink returns the link of the pair after a first message.
+func (p *relayedPair) oneWayLink(g *gomega.WithT) *link {
+	p.a.Notify("b", "tell", []byte("first"))
+	g.Eventually(p.times("first"), eventuallyTimeout).Should(gomega.Equal(1))
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	return p.a.outgoingLinks["b"].client.link
+}
+
+// A link that was idle for long is not closed for the silence before its next use.
+func TestSilenceOfIdleLinkDoesNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := startRelayedPair(t).oneWayLink(g)
+	g.Eventually(func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.oneWay.unproven()
+	}, eventuallyTimeout).Should(gomega.BeFalse())
+	payload, err := encode(callBody{Method: "tell", Body: []byte("second")})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l.lastRead.Store(int64(l.opts.Now() - time.Minute))
+	g.Expect(l.notify(payload)).To(gomega.BeTrue())
+	l.addOutstanding()
+	defer l.removeOutstanding()
+	now := l.opts.Now()
+	l.checkLiveness(now)
+	l.checkLiveness(now)
+	g.Expect(l.closeErr()).NotTo(gomega.HaveOccurred())
+}
+
+// A large message may take longer to arrive than a ping may remain without a response.
+func TestLargeMessageHasTimeToArrive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := oneWay{}
+	o.add(10, 0)
+	g.Expect(o.transferTime()).To(gomega.BeNumerically("<", time.Millisecond))
+	o.add(2*minThroughput, 0)
+	g.Expect(o.pingDue(100*time.Millisecond, 250*time.Millisecond)).To(gomega.BeFalse())
+	g.Expect(o.pingDue(250*time.Millisecond, 250*time.Millisecond)).To(gomega.BeTrue())
+	ping := o.recordPing()
+	g.Expect(o.pingDue(time.Second, 250*time.Millisecond)).To(gomega.BeFalse(), "a ping is under way")
+	o.add(10, time.Second)
+	g.Expect(o.transferTime()).To(gomega.BeNumerically(">=", 2*time.Second))
+	o.recordPong(ping, 2*time.Second)
+	g.Expect(o.transferTime()).To(gomega.BeNumerically("<", time.Millisecond))
+	g.Expect(o.unproven()).To(gomega.BeTrue(), "the third message was sent after the ping")
+	o.recordPong(o.recordPing(), 3*time.Second)
+	g.Expect(o.unproven()).To(gomega.BeFalse())
+}
