Send updates again that were on their way when a link was lost

A change that a watcher relayed over a link which had gone silent, or was reset, reached the receiver only with the next heartbeats and a fetch. Cause: a one-way message is sent once, and nothing tells its sender that it arrived. Change: updates, primary claims and releases of lanes are kept until a ping proves their receipt, and are sent once more over a new link if theirs is lost. Their effect does not depend on when they arrive. Messages that state what held when they were sent (heartbeats, evidence, reports) are not repeated. Evidence: TestUpdateSentOverSilentLinkArrives fails without the repetition (mutation); TestProvenUpdateArrivesOnce guards against repeating what was proven.

--- a/internal/peer/api.go
+++ b/internal/peer/api.go
@@ -19,7 +19,8 @@
 	// *UnreachableError (no response; the handler may have run) or *RemoteError.
 	Call(ctx context.Context, vm, method string, body []byte) ([]byte, error)
 	// Notify queues a one-way message. It never blocks; the message is dropped if the
-	// peer cannot be reached or the link's send buffer is full.
+	// peer cannot be reached or the link's send buffer is full. One that method.MayRepeat
+	// names is sent once more if the link is lost before its receipt is proven.
 	Notify(vm, method string, body []byte)
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -210,17 +210,28 @@
 	return l.trySendLocked(frame{Type: framePing, Number: l.oneWay.recordPing()})
 }
 
-// notify queues a one-way message without blocking. It reports false if it was dropped.
-func (l *link) notify(payload []byte) bool {
+// notify queues a one-way message without blocking. It reports false if it was dropped. With
+// keep, takeUnproven returns it if it may not have arrived.
+func (l *link) notify(payload []byte, keep bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.trySendLocked(frame{Type: frameNotify, Body: payload}) {
 		return false
 	}
 	l.addOneWay(len(payload))
+	if keep {
+		l.oneWay.keep(payload)
+	}
 	return true
 }
 
+// takeUnproven returns the kept messages of a closed link that may not have arrived.
+func (l *link) takeUnproven() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.oneWay.takeKept()
+}
+
 // addOneWay records a one-way message that is being sent; l.mu is held. The first one that
 // is unproven restarts the measurement of silence; see addOutstanding.
 func (l *link) addOneWay(size int) {
--- a/internal/peer/method/method.go
+++ b/internal/peer/method/method.go
@@ -1,5 +1,5 @@
 // Package method lists the names of the calls and one-way messages between proxies.
-// It holds only constants; the packages that serve a method define its message types.
+// The packages that serve a method define its message types.
 package method
 
 // Methods of unary calls and one-way messages. Each comment names the package that
@@ -27,3 +27,9 @@
 	Claim             = "claim"        // promotion: writes a claim for a VM that cannot reach the store
 	Release           = "release"      // authority: a lease holder releases (database, term)
 )
+
+// MayRepeat reports whether a one-way message may arrive late or twice: its effect does not
+// depend on when it arrives. The others state what held when they were sent.
+func MayRepeat(name string) bool {
+	return name == Objects || name == PrimaryClaim || name == LaneRelease
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -15,6 +15,7 @@
 
 	"egretroad/internal/clock"
 	"egretroad/internal/metrics"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/topology"
 	"egretroad/internal/txn"
 )
@@ -397,6 +398,7 @@
 		defer n.goroutines.Done()
 		c.run()
 		n.reportUnresponsive(c.link, "dialed")
+		n.resendUnproven(c.link)
 	}()
 	return c, nil
 }
@@ -462,42 +464,58 @@
 }
 
 // Notify implements Caller.
-func (n *Node) Notify(vm, method string, body []byte) {
+func (n *Node) Notify(vm, name string, body []byte) {
 	if vm == n.opts.Self {
-		if h, ok := n.handlers[method]; ok {
+		if h, ok := n.handlers[name]; ok {
 			_, _ = h(n.ctx, n.opts.Self, body) // one-way messages have no response
 		}
 		return
 	}
-	payload, err := encode(callBody{Method: method, Body: body})
+	payload, err := encode(callBody{Method: name, Body: body})
 	if err != nil {
 		n.stats.notificationsDropped.Add(1)
 		return
 	}
+	keep := method.MayRepeat(name)
+	if l := n.currentLink(vm); l != nil && l.notify(payload, keep) {
+		return
+	}
+	go n.dialAndNotify(vm, [][]byte{payload}, keep)
+}
+
+// currentLink returns the dialed link to a VM, which may be closed; nil if there is none.
+func (n *Node) currentLink(vm string) *link {
 	n.mu.Lock()
-	o := n.outgoingLinks[vm]
-	open := o != nil && o.client != nil && o.client.link.closeErr() == nil
-	n.mu.Unlock()
-	if open {
-		n.sendNotification(o.client.link, payload)
+	defer n.mu.Unlock()
+	if o := n.outgoingLinks[vm]; o != nil && o.client != nil {
+		return o.client.link
+	}
+	return nil
+}
+
+// dialAndNotify sends one-way messages over a link that may have to be dialed first.
+func (n *Node) dialAndNotify(vm string, payloads [][]byte, keep bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.opts.DialTimeout)
+	defer cancel()
+	c, err := n.acquireClient(ctx, vm)
+	if err != nil {
+		n.stats.notificationsDropped.Add(int64(len(payloads)))
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, n.opts.DialTimeout)
-		defer cancel()
-		c, err := n.acquireClient(ctx, vm)
-		if err != nil {
+	defer c.link.removeOutstanding()
+	for _, payload := range payloads {
+		if !c.link.notify(payload, keep) {
 			n.stats.notificationsDropped.Add(1)
-			return
 		}
-		defer c.link.removeOutstanding()
-		n.sendNotification(c.link, payload)
-	}()
+	}
 }
 
-func (n *Node) sendNotification(l *link, payload []byte) {
-	if !l.notify(payload) {
-		n.stats.notificationsDropped.Add(1)
+// resendUnproven sends the one-way messages of a lost link again that may not have arrived.
+// They are sent again only once.
+func (n *Node) resendUnproven(l *link) {
+	if payloads := l.takeUnproven(); len(payloads) > 0 && n.ctx.Err() == nil {
+		n.stats.notificationsResent.Add(int64(len(payloads)))
+		n.dialAndNotify(l.vm, payloads, false)
 	}
 }
 
--- a/internal/peer/oneway.go
+++ b/internal/peer/oneway.go
@@ -6,6 +6,15 @@
 // carry queued messages. A large message delays the response to a ping behind it.
 const minThroughput = 64 << 10
 
+// maxKeptBytes bounds the unproven messages of one link that are kept to be sent again.
+const maxKeptBytes = 64 << 10
+
+// keptMessage is an unproven message that is sent again if its link is lost.
+type keptMessage struct {
+	number  uint64
+	payload []byte
+}
+
 // oneWay tracks which one-way messages of a link are proven to have arrived. Nothing responds
 // to them, so a ping is sent behind them: its response proves the receipt of all messages
 // before it. Messages are numbered from 1.
@@ -13,6 +22,8 @@
 	sent, pinged, proven uint64        // last message sent, covered by a ping, and proven
 	since                time.Duration // when the first unproven message was sent
 	bytes, pingedBytes   int           // size of the unproven messages, and of those covered by a ping
+	kept                 []keptMessage // unproven messages to be sent again, in order
+	keptBytes            int
 }
 
 // add records a message that is being sent.
@@ -24,6 +35,24 @@
 	o.bytes += size
 }
 
+// keep keeps the last message to be sent again, unless too many bytes are kept already.
+func (o *oneWay) keep(payload []byte) {
+	if o.keptBytes+len(payload) <= maxKeptBytes {
+		o.kept = append(o.kept, keptMessage{o.sent, payload})
+		o.keptBytes += len(payload)
+	}
+}
+
+// takeKept returns the messages that are to be sent again.
+func (o *oneWay) takeKept() [][]byte {
+	var payloads [][]byte
+	for _, m := range o.kept {
+		payloads = append(payloads, m.payload)
+	}
+	o.kept, o.keptBytes = nil, 0
+	return payloads
+}
+
 // unproven reports whether a message has been sent whose receipt is not proven.
 func (o *oneWay) unproven() bool { return o.sent != o.proven }
 
@@ -49,6 +78,10 @@
 		return
 	}
 	o.proven, o.since = number, now
+	for len(o.kept) > 0 && o.kept[0].number <= number {
+		o.keptBytes -= len(o.kept[0].payload)
+		o.kept = o.kept[1:]
+	}
 	if number == o.pinged {
 		o.bytes -= o.pingedBytes
 		o.pingedBytes = 0
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -12,6 +12,7 @@
 
 	"egretroad/internal/eventlog"
 	"egretroad/internal/metrics"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/topology"
 )
 
@@ -95,12 +96,14 @@
 	}
 	p.a = newNode("a")
 	b := newNode("b")
-	b.Handle("tell", func(_ context.Context, _ string, body []byte) ([]byte, error) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.received[string(body)]++
-		return nil, nil
-	})
+	for _, name := range []string{"tell", method.Objects} {
+		b.Handle(name, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.received[string(body)]++
+			return nil, nil
+		})
+	}
 	b.Start(listener)
 	local, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -168,7 +171,7 @@
 	payload, err := encode(callBody{Method: "tell", Body: []byte("second")})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	l.lastRead.Store(int64(l.opts.Now() - time.Minute))
-	g.Expect(l.notify(payload)).To(gomega.BeTrue())
+	g.Expect(l.notify(payload, false)).To(gomega.BeTrue())
 	l.addOutstanding()
 	defer l.removeOutstanding()
 	now := l.opts.Now()
@@ -196,3 +199,32 @@
 	o.recordPong(o.recordPing(), 3*time.Second)
 	g.Expect(o.unproven()).To(gomega.BeFalse())
 }
+
+func TestUpdateSentOverSilentLinkArrives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startRelayedPair(t)
+	p.a.Notify("b", "tell", []byte("before"))
+	g.Eventually(p.times("before"), eventuallyTimeout).Should(gomega.Equal(1))
+	p.relay.silenceAll()
+	p.a.Notify("b", method.Objects, []byte("update"))
+	p.a.Notify("b", "tell", []byte("heartbeat"))
+	g.Eventually(p.times("update"), eventuallyTimeout).Should(gomega.Equal(1))
+	g.Expect(p.times("heartbeat")()).To(gomega.BeZero())
+}
+
+// A message is not sent again after its receipt was proven.
+func TestProvenUpdateArrivesOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startRelayedPair(t)
+	l := p.oneWayLink(g)
+	p.a.Notify("b", method.Objects, []byte("update"))
+	g.Eventually(func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.oneWay.kept)
+	}, eventuallyTimeout).Should(gomega.BeZero())
+	l.close(&UnresponsiveError{})
+	p.a.Notify("b", method.Objects, []byte("later"))
+	g.Eventually(p.times("later"), eventuallyTimeout).Should(gomega.Equal(1))
+	g.Expect(p.times("update")()).To(gomega.Equal(1))
+}
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -15,6 +15,7 @@
 	controlSent, controlReceived *expvar.Int // bytes
 	laneSent, laneReceived       *expvar.Int // bytes
 	notificationsDropped         *expvar.Int // one-way messages dropped
+	notificationsResent          *expvar.Int // one-way messages sent again after their link was lost
 	links                        *expvar.Int
 	linksUnresponsive            *expvar.Int // links closed because their peer did not respond
 	lanesOpened                  *expvar.Int // lanes opened by this proxy
@@ -27,6 +28,7 @@
 		laneSent:             m.Int(metricsGroup, "lane_sent_bytes"),
 		laneReceived:         m.Int(metricsGroup, "lane_received_bytes"),
 		notificationsDropped: m.Int(metricsGroup, "notifications_dropped"),
+		notificationsResent:  m.Int(metricsGroup, "notifications_resent"),
 		links:                m.Int(metricsGroup, "links"),
 		linksUnresponsive:    m.Int(metricsGroup, "links_unresponsive"),
 		lanesOpened:          m.Int(metricsGroup, "lanes_opened"),
