--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,74 +12,15 @@
 	"egretroad/internal/eventlog"
 	"egretroad/internal/metrics"
 	"egretroad/internal/peer/method"
+	"egretroad/internal/standin/silence"
 	"egretroad/internal/topology"
 )
 
-// silentRelay passes connections on to a node. It can make the open ones silent for good:
-// both ends stay connected, and what they send is acknowledged and dropped.
-type silentRelay struct {
-	listener net.Listener
-	mu       sync.Mutex // guards open
-	open     []*atomic.Bool
-}
-
-func startSilentRelay(t *testing.T, target string) *silentRelay {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	r := &silentRelay{listener: listener}
-	t.Cleanup(func() { _ = listener.Close() }) // the test has ended
-	go func() {
-		for {
-			in, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				_ = in.Close() // as the target refused it
-				continue
-			}
-			silent := &atomic.Bool{}
-			r.mu.Lock()
-			r.open = append(r.open, silent)
-			r.mu.Unlock()
-			go copyUnlessSilent(out, in, silent)
-			go copyUnlessSilent(in, out, silent)
-		}
-	}()
-	return r
-}
-
-func copyUnlessSilent(to, from net.Conn, silent *atomic.Bool) {
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 && !silent.Load() {
-			_, _ = to.Write(buffer[:n]) // the next read reports a closed connection
-		}
-		if err != nil {
-			if !silent.Load() {
-				_ = to.Close() // the other end has closed
-			}
-			return
-		}
-	}
-}
-
-// silenceAll makes all open connections silent.
-func (r *silentRelay) silenceAll() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, silent := range r.open {
-		silent.Store(true)
-	}
-}
-
 // relayedPair is two nodes with a relay in front of the second one, which collects the
 // one-way messages that it receives.
 type relayedPair struct {
 	a        *Node
-	relay    *silentRelay
+	relay    *silence.Relay
 	mu       sync.Mutex // guards received
 	received map[string]int
 }
@@ -89,8 +29,11 @@
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	p := &relayedPair{relay: startSilentRelay(t, listener.Addr().String()), received: map[string]int{}}
-	snapshot := &topology.Snapshot{VMs: map[string]topology.VM{"b": {ID: "b", PeerAddr: p.relay.listener.Addr().String()}}}
+	relay, err := silence.Start(listener.Addr().String(), false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(relay.Close)
+	p := &relayedPair{relay: relay, received: map[string]int{}}
+	snapshot := &topology.Snapshot{VMs: map[string]topology.VM{"b": {ID: "b", PeerAddr: p.relay.Addr()}}}
 	newNode := func(self string) *Node {
 		return NewNode(DefaultOptions(self, "127.0.0.1", []byte("key")), topology.NewPublisher(snapshot), eventlog.Discard(), metrics.NewRegistry())
 	}
@@ -128,7 +71,7 @@
 	p := startRelayedPair(t)
 	p.a.Notify("b", "tell", []byte("before"))
 	g.Eventually(p.times("before"), eventuallyTimeout).Should(gomega.Equal(1))
-	p.relay.silenceAll()
+	p.relay.SilenceAll()
 	g.Eventually(func() int {
 		p.a.Notify("b", "tell", []byte("after"))
 		return p.times("after")()
@@ -146,7 +89,7 @@
 		return err
 	}
 	g.Eventually(call, eventuallyTimeout).Should(gomega.Succeed())
-	p.relay.silenceAll()
+	p.relay.SilenceAll()
 	g.Eventually(call, eventuallyTimeout, "300ms").Should(gomega.Succeed())
 }
 
@@ -205,7 +148,7 @@
 	p := startRelayedPair(t)
 	p.a.Notify("b", "tell", []byte("before"))
 	g.Eventually(p.times("before"), eventuallyTimeout).Should(gomega.Equal(1))
-	p.relay.silenceAll()
+	p.relay.SilenceAll()
 	p.a.Notify("b", method.Objects, []byte("update"))
 	p.a.Notify("b", "tell", []byte("heartbeat"))
 	g.Eventually(p.times("update"), eventuallyTimeout).Should(gomega.Equal(1))
--- a/internal/standin/platformfleet/fleet.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -21,6 +21,7 @@
 
 	"egretroad/internal/standin/linegroup"
 	"egretroad/internal/standin/metastore"
+	"egretroad/internal/standin/silence"
 )
 
 // kindVMs is the kind of the store under which VMs register.
@@ -63,8 +64,6 @@
 	store  *metastore.Store
 	facade *httptest.Server
 	group  *linegroup.Group
-	// storeAddress is that of the relay to the store.
-	storeAddress string
 
 	mu      sync.Mutex // guards the fields below
 	version int
@@ -98,7 +97,7 @@
 	}
 	f.store.PageSize = 500
 	f.facade = httptest.NewServer(f.Links.withRelays(f.store.Addr()))
-	if f.storeAddress, err = f.Links.addStore(f.facade.Listener.Addr().String()); err != nil {
+	if f.Links.store, err = silence.Start(f.facade.Listener.Addr().String(), true); err != nil {
 		return f, err
 	}
 	if f.group, err = linegroup.New(serviceName, "s-a", "s-b", "s-c"); err != nil {
@@ -250,7 +249,7 @@
 duties = ["failover"]
 `, v.Name, v.IP, zoneName(v.zone), zoneName(v.zone), statusPort, statusPort+10, zones,
 		v.address(frontPort), v.address(readyPort), v.address(controlPort),
-		int(graceTime.Seconds()), v.fleet.storeAddress, v.fleet.store.Addr())
+		int(graceTime.Seconds()), v.fleet.Links.store.Addr(), v.fleet.store.Addr())
 }
 
 // Start starts the process.
--- a/internal/standin/platformfleet/network.go
+++ b/internal/standin/platformfleet/network.go
@@ -5,112 +5,46 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
+
+	"egretroad/internal/standin/silence"
 )
 
 // Links are the connections between the VMs and from them to the store. Each passes through
-// a relay that can make it silent for good: both ends stay connected, and what they send is
-// acknowledged and dropped.
+// a relay.
 type Links struct {
-	mu      sync.Mutex // guards the fields below
-	peers   []*connection
-	stores  map[string][]*connection // by IP address of the VM
-	relays  map[string]string        // address for other VMs, by name of the VM
-	refused map[string]bool          // IP addresses of the VMs that the store refuses
-}
+	store *silence.Relay
 
-// connection is one relayed connection.
-type connection struct {
-	in, out net.Conn
-	silent  atomic.Bool
-	ended   atomic.Bool
+	mu      sync.Mutex                // guards the fields below
+	peers   map[string]*silence.Relay // in front of a VM, by its name
+	refused map[string]bool           // IP addresses of the VMs that the store refuses
 }
 
 func newLinks() *Links {
-	return &Links{stores: map[string][]*connection{}, relays: map[string]string{}, refused: map[string]bool{}}
-}
-
-// relay accepts connections and passes them on to target. With keepSource they go on from
-// the address that they came from. add receives each connection and the IP address of its
-// source. It returns the relay's address.
-func (l *Links) relay(target string, keepSource bool, add func(c *connection, source string)) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	go func() {
-		for {
-			in, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			source := in.RemoteAddr().(*net.TCPAddr).IP
-			dialer := net.Dialer{}
-			if keepSource {
-				dialer.LocalAddr = &net.TCPAddr{IP: source}
-			}
-			out, err := dialer.Dial("tcp", target)
-			if err != nil {
-				_ = in.Close() // refused, as the target refuses it
-				continue
-			}
-			c := &connection{in: in, out: out}
-			l.mu.Lock()
-			add(c, source.String())
-			l.mu.Unlock()
-			go c.forward(in, out)
-			go c.forward(out, in)
-		}
-	}()
-	return listener.Addr().String(), nil
-}
-
-// forward copies bytes in one direction. The other end of a silent connection does not learn
-// that this one has closed.
-func (c *connection) forward(from, to net.Conn) {
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 && !c.silent.Load() {
-			_, _ = to.Write(buffer[:n]) // the next read reports a closed connection
-		}
-		if err == nil {
-			continue
-		}
-		c.ended.Store(true)
-		_ = from.Close() // it has ended
-		if !c.silent.Load() {
-			_ = to.Close() // likewise
-		}
-		return
-	}
+	return &Links{peers: map[string]*silence.Relay{}, refused: map[string]bool{}}
 }
 
 // addPeer starts the relay of a VM for other VMs.
 func (l *Links) addPeer(name, target string) error {
-	addr, err := l.relay(target, false, func(c *connection, _ string) { l.peers = append(l.peers, c) })
+	r, err := silence.Start(target, false)
 	if err != nil {
 		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.relays[name] = addr
+	l.peers[name] = r
 	return nil
 }
 
-// addStore starts the relay to the store.
-func (l *Links) addStore(target string) (string, error) {
-	return l.relay(target, true, func(c *connection, source string) { l.stores[source] = append(l.stores[source], c) })
-}
-
 // Refuse starts or stops the refusal of the calls of a VM to the store.
 func (l *Links) Refuse(ip string, refused bool) {
 	l.mu.Lock()
@@ -131,34 +65,16 @@
 func (l *Links) SilencePeers(random *rand.Rand, share float64) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var n int
-	l.peers, n = silenceSome(l.peers, random, share)
-	return n
+	silenced := 0
+	for _, name := range slices.Sorted(maps.Keys(l.peers)) {
+		silenced += l.peers[name].Silence(func(string) bool { return share >= 1 || random.Float64() < share })
+	}
+	return silenced
 }
 
-// silenceStore makes a VM's open connections to the store silent and returns their number.
+// SilenceStore makes a VM's open connections to the store silent and returns their number.
 func (l *Links) SilenceStore(ip string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var n int
-	l.stores[ip], n = silenceSome(l.stores[ip], nil, 1)
-	return n
-}
-
-// silenceSome silences a share of the open connections. It returns those still open and the
-// number of silenced ones.
-func silenceSome(all []*connection, random *rand.Rand, share float64) (open []*connection, silenced int) {
-	for _, c := range all {
-		switch {
-		case c.ended.Load() || c.silent.Load():
-		case share >= 1 || random.Float64() < share:
-			c.silent.Store(true)
-			silenced++
-		default:
-			open = append(open, c)
-		}
-	}
-	return open, silenced
+	return l.store.Silence(func(source string) bool { return source == ip })
 }
 
 // withRelays returns a handler that passes calls on to the store and replaces the addresses
@@ -209,8 +125,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, item := range list.Items {
-		if name, ok := item.Spec["id"].(string); ok && l.relays[name] != "" {
-			item.Spec["peerAddr"] = l.relays[name]
+		name, ok := item.Spec["id"].(string)
+		if relay := l.peers[name]; ok && relay != nil {
+			item.Spec["peerAddr"] = relay.Addr()
 		}
 	}
 	rewritten, err := json.Marshal(list)
