Announce the contact with the store when it advances

VMs took over the watch from a working watcher at 2.1 s and gave it up with its next announcement, again and again, without a fault: calls to the store and messages for nothing. Cause: the age of a contact is that of the kind whose watch ended less recently. The watches of the two kinds are out of phase, and the announcement after the later one was left out when the earlier one had been announced within 500 ms. So a working watcher announced an age of 1 s, once a second, beside a limit of 2 s. Change: the interval between announcements counts the contact's time. It is 1.5 s old at most when the next one comes. Evidence: TestNoVMTakesOverFromWorkingWatch fails on the code before at a phase of 500 ms. The simulated store ends the watches of the kinds apart now, as the platform's does.

--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -65,8 +65,8 @@
 	// so that the first success keeps the others from calling the store. MaxTakeoverDelay
 	// bounds the delay of the last one.
 	TakeoverStep, MaxTakeoverDelay time.Duration
-	// MinContactInterval is the minimum interval at which a watcher tells the other VMs that
-	// its watch works.
+	// MinContactInterval is the minimum interval between two answers of the store of which a
+	// watcher tells the other VMs.
 	MinContactInterval time.Duration
 	// VMsRegister is set if VMs write their entries in the list of VMs themselves. One that
 	// is missing from the list then writes its entry again.
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -82,8 +82,9 @@
 	ready          bool
 	watch          *control.WatchObjects // watch in flight
 	watchEnd       time.Duration
-	watches        int               // watches and polls started
-	cursors        map[string]uint64 // by kind; revision after which the next watch reports, if kinds are watched apart
+	watches        int                      // watches and polls started
+	cursors        map[string]uint64        // by kind; revision after which the next watch reports, if kinds are watched apart
+	kindEnds       map[string]time.Duration // by kind; end of its watch in flight, if kinds are watched apart
 	starts         uint64
 	pausedEvents   []reducer.Event // arrived while paused
 	pendingFetches map[uint64]func(control.FetchReply)
@@ -107,7 +108,7 @@
 	messages    int
 	opts        control.Options
 	seeds       []topology.VM
-	watchApart  bool   // a watch reports the changes of one kind, since a cursor of its own
+	watchApart  bool   // each kind has a watch of its own, since a cursor of its own
 	lossPercent uint64 // share of the one-way messages that get lost
 	fail        func(format string, args ...any)
 }
@@ -170,7 +171,7 @@
 // start starts or restarts a VM's process, without any earlier state.
 func (s *sim) start(vm topology.VM) *node {
 	old := s.nodes[vm.ID]
-	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, cursors: map[string]uint64{}, starts: 1}
+	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, cursors: map[string]uint64{}, kindEnds: map[string]time.Duration{}, starts: 1}
 	if old != nil {
 		n.starts = old.starts + 1
 	} else {
@@ -264,7 +265,7 @@
 			continue
 		}
 		r := s.changes(n)
-		if len(r.Objects) > 0 || s.now >= n.watchEnd {
+		if len(r.Objects) > 0 || len(r.Ranges) > 0 || !s.watchApart && s.now >= n.watchEnd {
 			s.endWatch(n, control.ObjectsWatched{Response: r})
 		}
 	}
@@ -278,15 +279,12 @@
 	r := platform.WatchResponse{Ranges: map[string]platform.RevisionRange{}}
 	for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
 		all := s.store.changesSince(n.cursors[kind])
-		for _, o := range all.Objects {
-			if o.Kind == kind {
-				r.Objects = append(r.Objects, o)
-			}
-		}
-		if len(r.Objects) > 0 || s.now >= n.watchEnd {
+		changed := slices.DeleteFunc(all.Objects, func(o platform.Object) bool { return o.Kind != kind })
+		if len(changed) > 0 || s.now >= n.kindEnds[kind] {
+			r.Objects = append(r.Objects, changed...)
 			r.Ranges[kind] = platform.RevisionRange{Since: n.cursors[kind], Revision: all.Revision}
 			n.cursors[kind] = all.Revision
-			break
+			delete(n.kindEnds, kind)
 		}
 	}
 	return r
@@ -295,6 +293,9 @@
 func (s *sim) endWatch(n *node, e control.ObjectsWatched) {
 	e.Since = n.watch.Since
 	n.watch = nil
+	if e.Err != nil {
+		clear(n.kindEnds)
+	}
 	s.post(n, e)
 }
 
@@ -355,6 +356,11 @@
 		s.store.calls++
 		n.watches++
 		n.watch, n.watchEnd = &e, s.now+e.Wait
+		for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+			if _, inFlight := n.kindEnds[kind]; !inFlight {
+				n.kindEnds[kind] = s.now + e.Wait
+			}
+		}
 	case control.CancelWatch:
 		if n.watch != nil {
 			s.endWatch(n, control.ObjectsWatched{Err: &platform.UnavailableError{Call: "watch"}})
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -16,7 +16,7 @@
 	watching  bool                     // this VM watches the store
 	answered  map[string]time.Duration // by kind; when the store last answered this VM
 	contacts  map[string]time.Duration // by VM of this data centre; when the store last answered its watch
-	announced time.Duration            // when this VM last told the others of its contact
+	announced time.Duration            // contact of which this VM last told the others
 	startedAt time.Duration            // when the machine started; no contact is expected before
 }
 
@@ -135,11 +135,12 @@
 
 // announceWatchContact tells the other VMs of the data centre that they need not watch.
 func (m *Machine) announceWatchContact() {
-	age := m.now - m.ownContact()
-	if !m.watch.watching || m.everyVMWatches() || m.awaitsRejoin() || age > m.opts.WatchContactLimit || m.now-m.watch.announced < m.opts.MinContactInterval {
+	contact := m.ownContact()
+	age := m.now - contact
+	if !m.watch.watching || m.everyVMWatches() || m.awaitsRejoin() || age > m.opts.WatchContactLimit || contact-m.watch.announced < m.opts.MinContactInterval {
 		return
 	}
-	m.watch.announced = m.now
+	m.watch.announced = contact
 	h := m.newHeartbeat()
 	h.Watching, h.WatchAge = true, age
 	m.notify(m.localPeers(), method.Heartbeat, h)
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -208,3 +208,30 @@
 		expectChangeInForce(s, g)
 	})
 }
+
+// The watches of the two kinds end at different times, whatever their phase.
+func TestNoVMTakesOverFromWorkingWatch(t *testing.T) {
+	for _, phase := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(phase.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSim(3, 14, 5, t.Fatalf)
+			s.watchApart = true
+			s.startAll()
+			s.advance(10*time.Second + phase)
+			s.store.put(platform.KindGroup, simDatabase(0), simGroup(0, 3)) // moves the phase of one kind
+			s.advance(2 * time.Second)
+			watchers := s.watchers()
+			logged := map[string]int{}
+			for _, id := range s.ids {
+				logged[id] = len(s.nodes[id].logs)
+			}
+			s.advance(20 * time.Second)
+			g.Expect(s.watchers()).To(Equal(watchers))
+			for _, id := range s.ids {
+				for _, line := range s.nodes[id].logs[logged[id]:] {
+					g.Expect(line).NotTo(ContainSubstring("watch_role"), "on "+id)
+				}
+			}
+		})
+	}
+}
