Close accepted links whose dialer is gone without a trace

Each series of connections that went silent left links open at the VMs that had accepted them, for good: descriptors and memory, and after 4096 of them the VM accepts no others. Cause: the dialer closes a silent link, but its end does not reach the acceptor, which never measured silence on a link without open calls. Change: an accepted link on which nothing was received for the idle time-out and 10 s is closed. Evidence: TestAcceptedLinkOfLostDialerIsClosed fails without it (mutation).

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// closeIdleLinks closes outgoing links that exceed the idle time-out; n.mu is held.
+// closeIdleLinks closes links that exceed the idle time-out; n.mu is held. The dialer of a
+// link closes it first; if the acceptor does not learn of that, it closes it a little later.
 func (n *Node) closeIdleLinks(now time.Duration) {
 	for _, o := range n.outgoingLinks {
 		if o.client != nil && o.client.link.idle(now, n.opts.IdleTimeout) {
@@ -182,8 +183,17 @@
 			o.client = nil
 		}
 	}
+	for l := range n.incomingLinks {
+		if l.idle(now, n.opts.IdleTimeout+idleMargin) {
+			l.close(nil)
+		}
+	}
 }
 
+// idleMargin is the time after which the acceptor of an idle link closes it if its dialer
+// has not.
+const idleMargin = 10 * time.Second
+
 func (n *Node) acceptLoop(listener net.Listener) {
 	defer n.goroutines.Done()
 	for {
