Verify idle connections to a server after a statement without a response

Only the connection of the statement was closed. Change: when a slot is written off because the server answers but a statement has no response, or a statement times out, idle connections that were open at that time are checked with a command that needs no slot, at most once a second.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -58,6 +58,11 @@
 func (s *switchedGuard) Permitted(string, string) bool { return !s.denied.Load() }
 
 func newHarness(t *testing.T, lag time.Duration) *harness {
+	return newHarnessBehind(t, lag, func(addr string) string { return addr })
+}
+
+// newHarnessBehind returns a harness that reaches the servers at other addresses.
+func newHarnessBehind(t *testing.T, lag time.Duration, front func(addr string) string) *harness {
 	g := NewWithT(t)
 	group, err := linegroup.New("orders", "s1", "s2")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -65,7 +70,7 @@
 	group.Lag = lag
 	h := &harness{g: g, group: group, guard: &switchedGuard{}}
 	for _, id := range []string{"s1", "s2"} {
-		h.servers = append(h.servers, topology.Server{ID: id, Addr: group.Server(id).Addr(), State: topology.ServerActive, Slots: 2, DataCentre: "a"})
+		h.servers = append(h.servers, topology.Server{ID: id, Addr: front(group.Server(id).Addr()), State: topology.ServerActive, Slots: 2, DataCentre: "a"})
 	}
 	h.publisher = topology.NewPublisher(h.snapshot("s1"))
 	h.manager = broker.New(broker.DefaultOptions(), h.publisher, platform.NewConnector(platform.Settings{VM: "vm", Address: "127.0.0.1"}), h.guard, eventlog.Discard(), metrics.NewRegistry())
--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -35,6 +35,9 @@
 	limitRaiseInterval = 200 * time.Millisecond
 	// maxPrepared bounds the prepared statements of a connection.
 	maxPrepared = 200
+	// verifyInterval is the minimum interval between two verifications of the idle
+	// connections, because statements that are merely slow cause them too.
+	verifyInterval = time.Second
 )
 
 // pooledConn is a connection with its session state at the server.
@@ -60,6 +63,7 @@
 	open           int // idle or in use
 	opening        int
 	idle           []*pooledConn
+	nextVerify     time.Duration
 	nextAttempt    time.Duration
 	backOff        *backoff.ExponentialBackOff
 	lastError      error // of the last attempt to connect; nil after success
@@ -288,6 +292,42 @@
 	c.mu.Unlock()
 }
 
+// verifyIdle checks that the connections respond that have been idle since the given time,
+// and closes the others: a statement that was sent then has no response, and connections
+// that were open at that time may have gone silent together.
+func (c *connPool) verifyIdle(since time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := clock.Boottime(); now >= c.nextVerify {
+		c.nextVerify = now + verifyInterval
+	} else {
+		return
+	}
+	var kept []*pooledConn
+	for _, p := range c.idle {
+		if p.idleSince > since {
+			kept = append(kept, p)
+		} else {
+			go c.verify(p)
+		}
+	}
+	c.idle = kept
+}
+
+// verify sends a command that occupies no slot on a connection that was taken from the pool,
+// and returns it if there is a response.
+func (c *connPool) verify(p *pooledConn) {
+	replies, err := p.Run(time.Now().Add(c.server.options.VerifyTimeout), proxyCommand(statement.Reset))
+	if err != nil || !replies[0].OK() {
+		c.server.log.Info("idle_connection_silent", "error", err)
+		c.discard(p)
+		return
+	}
+	clear(p.settings)
+	clear(p.prepared)
+	c.release(p)
+}
+
 // discard closes a connection whose state is unknown.
 func (c *connPool) discard(p *pooledConn) {
 	p.Close()
--- a/internal/broker/lane.go
+++ b/internal/broker/lane.go
@@ -291,6 +291,7 @@
 		var broken *BrokenError
 		if errors.As(err, &broken) && broken.Timeout {
 			reason = outcome.ReasonStatementTimeout
+			l.server.pool.verifyIdle(sentAt)
 		}
 		return Result{Outcome: OutcomeUnknown, Reason: reason, Detail: err.Error(), Ran: ran}
 	}
--- a/internal/broker/manager.go
+++ b/internal/broker/manager.go
@@ -24,6 +24,8 @@
 	ConnectTimeout time.Duration
 	// ProbeTimeout bounds a command that the proxy issues itself.
 	ProbeTimeout time.Duration
+	// VerifyTimeout bounds the check that an idle connection responds.
+	VerifyTimeout time.Duration
 	// HomeConnectionShare is the fraction of a server's connection limit that its home
 	// uses. The rest is left for a new home that takes over while the connections of a
 	// dead one still count, for VMs that stand in, and for the admin connection.
@@ -66,6 +68,7 @@
 		Admission:              queue,
 		ConnectTimeout:         time.Second,
 		ProbeTimeout:           500 * time.Millisecond,
+		VerifyTimeout:          250 * time.Millisecond,
 		HomeConnectionShare:    0.5,
 		StandInConnections:     2,
 		DefaultConnections:     8,
--- a/internal/broker/overdue.go
+++ b/internal/broker/overdue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretroad/internal/admission"
+	"egretroad/internal/clock"
 )
 
 // overdueWatch reclaims the slot of a statement whose response is overdue, once the
@@ -16,6 +17,7 @@
 	id           admission.ID
 	statementID  string
 	overdueAfter time.Duration
+	sentAt       time.Duration // when the statement was sent, on CLOCK_BOOTTIME
 
 	mu      sync.Mutex // guards the fields below
 	timer   *time.Timer
@@ -24,7 +26,7 @@
 
 // watchOverdue watches the running statement of a lane until stop is called.
 func (s *server) watchOverdue(id admission.ID, statementID string) *overdueWatch {
-	w := &overdueWatch{server: s, id: id, statementID: statementID}
+	w := &overdueWatch{server: s, id: id, statementID: statementID, sentAt: clock.Boottime()}
 	s.gate.Lock()
 	overdueAfter, watched := s.gate.MachineLocked().OverdueAfter(id)
 	s.gate.Unlock()
@@ -62,5 +64,6 @@
 		w.server.log.Info("slot_written_off", "id", w.statementID, "after", w.overdueAfter)
 		w.server.metrics.slotsWrittenOff.WithLabelValues().Inc()
 		w.server.gate.Step(admission.Event{Type: admission.EventWriteOff, ID: w.id})
+		w.server.pool.verifyIdle(w.sentAt)
 	}
 }
