Count received bytes as activity of a link, not complete messages

A response that takes longer than 1.2 s to arrive, such as a copy of the configuration over the thin link of a small VM that several others read at the same time, was lost with its link, and so was the next one. Cause: silence was measured between complete messages. The response to the ping waits behind the large message. Change: a link's silence is the time since bytes were received. Evidence: TestLargeResponseArrivesOverThinLink (2 MiB in 2.6 s) fails if only complete messages count (mutation). A test that sets the time of the last activity names the field's new place; it checks the same.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -38,11 +38,41 @@
 
 func (e *UnresponsiveError) Error() string { return "no answer to a ping for " + e.Silence.String() }
 
+// activityConn is a connection that records when it has received bytes last.
+type activityConn struct {
+	net.Conn
+	now      func() time.Duration
+	lastRead atomic.Int64 // of now, in nanoseconds
+}
+
+func newActivityConn(conn net.Conn, now func() time.Duration) *activityConn {
+	c := &activityConn{Conn: conn, now: now}
+	c.restart()
+	return c
+}
+
+// Read implements net.Conn.
+func (c *activityConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.restart()
+	}
+	return n, err
+}
+
+// restart restarts the measurement of silence.
+func (c *activityConn) restart() { c.lastRead.Store(int64(c.now())) }
+
+// silence returns the time since bytes were received.
+func (c *activityConn) silence(now time.Duration) time.Duration {
+	return now - time.Duration(c.lastRead.Load())
+}
+
 // link is one connection between two proxies. A sender that finds no active writer
 // becomes the writer and also writes the frames that other senders append meanwhile, so
 // a batch of frames costs one system call and no switch between goroutines.
 type link struct {
-	conn   net.Conn
+	conn   *activityConn
 	reader *bufio.Reader
 	vm     string // remote VM ID
 	stats  *stats
@@ -58,19 +88,17 @@
 	recovered   chan struct{} // non-nil while the peer is unresponsive; closed when that ends
 
 	closed       chan struct{}
-	lastRead     atomic.Int64 // opts.Now in nanoseconds
 	unresponsive atomic.Bool  // recovered is not nil
 	outstanding  atomic.Int64 // open calls and lanes
 	pingSent     bool         // used by checkLiveness only
 }
 
-func newLink(conn net.Conn, r *bufio.Reader, vm string, opts *Options, st *stats) *link {
+func newLink(conn *activityConn, r *bufio.Reader, vm string, opts *Options, st *stats) *link {
 	l := &link{
 		conn: conn, reader: r, vm: vm, stats: st, opts: opts,
 		closed: make(chan struct{}),
 	}
 	l.writable = sync.NewCond(&l.mu)
-	l.lastRead.Store(int64(opts.Now()))
 	return l
 }
 
@@ -169,7 +197,7 @@
 // not proven in time.
 func (l *link) checkLiveness(now time.Duration) {
 	transferTime := l.checkOneWay(now)
-	silence := now - time.Duration(l.lastRead.Load())
+	silence := l.conn.silence(now)
 	switch {
 	case l.outstanding.Load() == 0:
 		l.pingSent = false
@@ -192,7 +220,7 @@
 	l.mu.Lock()
 	o := &l.oneWay
 	pingDue, transferTime := o.pingDue(now, l.opts.ProofAfter), o.transferTime()
-	silence := now - time.Duration(l.lastRead.Load())
+	silence := l.conn.silence(now)
 	isSilent := o.unproven() && silence > l.opts.ProofTimeout+transferTime
 	l.mu.Unlock()
 	if isSilent && l.outstanding.Load() == 0 {
@@ -237,7 +265,7 @@
 func (l *link) addOneWay(size int) {
 	now := l.opts.Now()
 	if !l.oneWay.unproven() && l.outstanding.Load() == 0 {
-		l.lastRead.Store(int64(now))
+		l.conn.restart()
 	}
 	l.oneWay.add(size, now)
 }
@@ -298,7 +326,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.oneWay.unproven() {
-		l.lastRead.Store(int64(l.opts.Now()))
+		l.conn.restart()
 	}
 }
 
@@ -307,7 +335,7 @@
 
 // idle reports whether no call or lane is open and nothing was received for timeout.
 func (l *link) idle(now, timeout time.Duration) bool {
-	return l.outstanding.Load() == 0 && now-time.Duration(l.lastRead.Load()) > timeout
+	return l.outstanding.Load() == 0 && l.conn.silence(now) > timeout
 }
 
 // releaseBuffers frees the spare write buffer of an idle link.
@@ -326,7 +354,6 @@
 		if err != nil {
 			return frame{}, err
 		}
-		l.lastRead.Store(int64(l.opts.Now()))
 		if l.unresponsive.Load() {
 			l.mu.Lock()
 			l.clearUnresponsive()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -221,14 +221,15 @@
 	if n.opts.TLS != nil {
 		conn = tls.Server(conn, n.opts.TLS)
 	}
-	r := bufio.NewReaderSize(conn, readBufferBytes)
-	vm, err := acceptHello(conn, r, n.opts.Self, n.opts.FleetKey, n.opts.DialTimeout)
+	active := newActivityConn(conn, n.opts.Now)
+	r := bufio.NewReaderSize(active, readBufferBytes)
+	vm, err := acceptHello(active, r, n.opts.Self, n.opts.FleetKey, n.opts.DialTimeout)
 	if err != nil {
 		n.log.Warn("peer_refused", "remote", conn.RemoteAddr(), "error", err)
 		_ = conn.Close() // the peer was refused
 		return
 	}
-	l := newLink(conn, r, vm, &n.opts, n.stats)
+	l := newLink(active, r, vm, &n.opts, n.stats)
 	if !n.addIncoming(l) {
 		l.close(nil)
 		return
@@ -397,12 +398,13 @@
 	if n.opts.TLS != nil {
 		conn = tls.Client(conn, n.clientTLS(addr))
 	}
-	r := bufio.NewReaderSize(conn, readBufferBytes)
-	if err := dialHello(conn, r, n.opts.Self, n.opts.FleetKey, n.opts.DialTimeout); err != nil {
+	active := newActivityConn(conn, n.opts.Now)
+	r := bufio.NewReaderSize(active, readBufferBytes)
+	if err := dialHello(active, r, n.opts.Self, n.opts.FleetKey, n.opts.DialTimeout); err != nil {
 		_ = conn.Close() // the dial error is returned
 		return nil, err
 	}
-	c := newClientLink(newLink(conn, r, vm, &n.opts, n.stats))
+	c := newClientLink(newLink(active, r, vm, &n.opts, n.stats))
 	n.goroutines.Add(1)
 	go func() {
 		defer n.goroutines.Done()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -218,7 +218,7 @@
 	a.mu.Unlock()
 	first.addOutstanding()
 	now := a.opts.Now()
-	first.lastRead.Store(int64(now))
+	first.conn.lastRead.Store(int64(now))
 	first.pingSent = true
 	first.checkLiveness(now + a.opts.SilenceTimeout + time.Millisecond)
 	g.Expect(first.closeErr()).To(gomega.MatchError(gomega.ContainSubstring("no answer to a ping")))
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -114,7 +116,7 @@
 	}, eventuallyTimeout).Should(gomega.BeFalse())
 	payload, err := encode(callBody{Method: "tell", Body: []byte("second")})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	l.lastRead.Store(int64(l.opts.Now() - time.Minute))
+	l.conn.lastRead.Store(int64(l.opts.Now() - time.Minute))
 	g.Expect(l.notify(payload, false)).To(gomega.BeTrue())
 	l.addOutstanding()
 	defer l.removeOutstanding()
@@ -191,3 +193,46 @@
 	p.b.mu.Unlock()
 	g.Eventually(links, eventuallyTimeout).Should(gomega.BeZero())
 }
+
+// slowConn delivers what it reads in small pieces.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(b []byte) (int, error) {
+	const pieceBytes, pause = 16 << 10, 20 * time.Millisecond
+	time.Sleep(pause)
+	return c.Conn.Read(b[:min(len(b), pieceBytes)])
+}
+
+// A response that takes longer to arrive than a link may be silent was lost: only complete
+// messages counted as received.
+func TestLargeResponseArrivesOverThinLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	here, there := net.Pipe()
+	opts := DefaultOptions("a", "", nil)
+	active := newActivityConn(slowConn{here}, opts.Now)
+	c := newClientLink(newLink(active, bufio.NewReader(active), "b", &opts, newStats(metrics.NewRegistry())))
+	go c.run()
+	t.Cleanup(func() { c.link.close(nil) })
+	large := make([]byte, 2<<20)
+	payload, err := encode(responseBody{Body: large})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	raw, err := appendFrame(nil, frame{Type: frameResponse, Number: 1, Body: payload})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _, _ = io.Copy(io.Discard, there) }() // the call and pings
+	go func() { _, _ = there.Write(raw) }()           // fails if the link is closed
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for c.link.closeErr() == nil {
+			c.link.checkLiveness(opts.Now())
+			time.Sleep(opts.CheckInterval)
+		}
+	}()
+	c.link.addOutstanding()
+	response, err := c.call(context.Background(), "fetch", nil)
+	c.link.removeOutstanding()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response).To(gomega.HaveLen(len(large)))
+	c.link.close(nil)
+	<-done
+}
