--- a/tools/measure/silence/silence.go
+++ b/tools/measure/silence/silence.go
@@ -74,6 +74,7 @@
 	lastDisrupted time.Time
 	delays        []time.Duration // beyond the later of acknowledgement and stable fleet, by change and VM
 	late          int             // of them, over applyLimit
+	disturbed     time.Duration   // longest time from an acknowledgement to a refusal, disrupted or not
 	unanswered    int             // probes without an answer
 
 	probes sync.WaitGroup
@@ -253,6 +254,9 @@
 func (r *run) recordDelay(v *platformfleet.VM, host string, acknowledged, refusedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !refusedAt.IsZero() {
+		r.disturbed = max(r.disturbed, refusedAt.Sub(acknowledged))
+	}
 	if refusedAt.IsZero() || refusedAt.Sub(r.lastDisrupted) < stableWindow {
 		r.delays = append(r.delays, 0)
 		return
@@ -274,6 +278,7 @@
 	result.Set("vms", float64(len(r.fleet.VMs)))
 	result.Set("unanswered_probes", float64(r.unanswered))
 	result.Set("longest_delay_s", longest.Seconds())
+	result.Set("longest_delay_disturbed_s", r.disturbed.Seconds())
 	result.AtLeast("changes_by_vm", float64(len(r.delays)), float64(changesAfter*len(r.fleet.VMs)))
 	result.AtMost("late", float64(r.late), 0)
 	result.Set("links_past_relays", float64(direct)) // these never go silent
