Name prepared statements at servers by a hash that resists collisions

Cause: the name of a prepared statement at the server, which sessions share, was derived from a hash that is easily made to collide, and callers choose the texts. Evidence: TestPreparedStatementsOfEqualHashAreKeptApart fails on the code before.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -231,6 +231,35 @@
 	h.g.Expect(h.runCount("w1")).To(Equal(1))
 }
 
+// Two clients' texts that have the same XXH64 shared a name, so that one ran the other's.
+func TestPreparedStatementsOfEqualHashAreKeptApart(t *testing.T) {
+	h := newHarness(t, 0)
+	texts := map[string]string{
+		"e1": "select-seat-of-family-where-id-is-given-and-status-is-accepted--",
+		"e2": "8qwqDByOeat-of-family-where-id-izk6i9G^nand-status-is-accepted--",
+	}
+	for _, id := range []string{"e1", "e2"} {
+		r := h.request("s1", id, "EXECUTE mine a")
+		r.Statement.Verb, r.Statement.Name, r.Statement.Value = statement.Execute, "mine", "a"
+		r.Prepared = &statement.Prepared{Text: texts[id]}
+		h.g.Expect(h.run(r).Reply.OK()).To(BeTrue())
+	}
+	prepared := map[string]string{}
+	executed := 0
+	for _, text := range h.group.Server("s1").Statements() {
+		id, text, _ := strings.Cut(text, " ")
+		fields := strings.Fields(text)
+		switch fields[0] {
+		case "PARSE":
+			prepared[fields[1]] = fields[3]
+		case "EXECUTE":
+			executed++
+			h.g.Expect(prepared[fields[1]]).To(Equal(texts[id]), id)
+		}
+	}
+	h.g.Expect(executed).To(Equal(2))
+}
+
 func TestSessionSettingsAndPreparedStatements(t *testing.T) {
 	h := newHarness(t, 0)
 	execute := func(id string, p statement.Prepared, settings ...statement.Setting) broker.Result {
--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
 
 	"egretroad/internal/clock"
 	"egretroad/internal/statement"
@@ -393,12 +392,17 @@
 	return commands
 }
 
+// preparedNameBytes is the length of the hash in the name of a prepared statement.
+const preparedNameBytes = 16
+
 // preparedName derives the name of a prepared statement from its text and access mode,
-// so that sessions can share it.
+// so that sessions can share it. Callers choose the texts, so the hash must resist
+// collisions.
 func preparedName(p statement.Prepared) string {
 	access := "r"
 	if p.Writes {
 		access = "w"
 	}
-	return strings.Join([]string{"e", access, strconv.FormatUint(xxhash.Sum64String(p.Text), 36)}, "")
+	hash := sha256.Sum256([]byte(p.Text))
+	return "e" + access + hex.EncodeToString(hash[:preparedNameBytes])
 }
