Bound the memory of the sessions' values and prepared statements

Clients that prepared large statements took a process over its memory limit, with all its sessions: some 2,000 statements of 128 KiB, each acknowledged. Cause: the number of a session's prepared statements was bounded, not their size, and nothing bounded all sessions together. Change: a session's prepared statements take 2 MiB at most, and the values and prepared statements of all sessions a tenth of the memory limit. Beyond that a statement is refused at once, BUSY where another VM may have room. What a session replaces, deallocates or ends with is free again. session_state_bytes reports the sum.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,10 @@
 	stopMargin = 300 * time.Millisecond
 )
 
+// sessionStateDivisor is the part of the memory limit that the sessions' values and prepared
+// statements may take. The garbage collector may double it.
+const sessionStateDivisor = 10
+
 // heapFraction is the fraction of the memory limit that is the target for the Go heap.
 // The rest is for stacks and socket buffers.
 const heapFraction = 0.6
@@ -415,6 +419,9 @@
 	if s.MaxSessions > 0 {
 		o.MaxSessions = s.MaxSessions
 	}
+	if s.MemoryBytes > 0 {
+		o.MaxStateBytes = s.MemoryBytes / sessionStateDivisor
+	}
 	return session.New(o, session.Deps{
 		Self: s.Self, Incarnation: uint64(start), Source: p, Broker: r, NewConn: a.NewCallerConn, Log: log.Named("session"), Metrics: m,
 	})
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -22,6 +22,9 @@
 type Options struct {
 	// MaxSessions is the maximum number of caller connections.
 	MaxSessions int
+	// MaxStateBytes is the maximum total size of the sessions' values and prepared
+	// statements.
+	MaxStateBytes int64
 	// IdleInTxn is the idle-in-transaction time-out of catalogue entries that set none.
 	IdleInTxn time.Duration
 	// NoPrimaryWait is how long a statement waits while its group has no primary: a
@@ -44,7 +47,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		MaxSessions: 3500, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
+		MaxSessions: 3500, MaxStateBytes: 32 << 20, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
 		RetryBackoff: 50 * time.Millisecond, RetryBackoffMax: 200 * time.Millisecond, StalenessMargin: 50 * time.Millisecond, SuccessLogRate: 100,
 		Selection: DefaultSelectionOptions(),
 	}
@@ -75,6 +78,7 @@
 	lastSessionID     atomic.Uint64
 	successLogLimiter *rate.Limiter
 	drainStarted      atomic.Bool
+	stateBytes        atomic.Int64 // total size of the sessions' values and prepared statements
 	active            sync.WaitGroup
 
 	mu       sync.Mutex // guards sessions
@@ -102,6 +106,7 @@
 	}
 	e.positions = newPositionCache(e)
 	e.metrics = newStatementMetrics(d.Metrics)
+	d.Metrics.Gauge("session_state_bytes", "Size of the sessions' values and prepared statements.", func() float64 { return float64(e.stateBytes.Load()) })
 	d.Metrics.Gauge("sessions", "Callers' sessions.", func() float64 { return float64(e.Sessions()) })
 	return e
 }
@@ -158,6 +163,16 @@
 	e.active.Done()
 }
 
+// reserveState counts the growth of a session's state in bytes, which may be negative. It
+// reports false, and counts nothing, if the total would exceed its maximum.
+func (e *Engine) reserveState(growth int) bool {
+	if total := e.stateBytes.Add(int64(growth)); growth > 0 && total > e.options.MaxStateBytes {
+		e.stateBytes.Add(-int64(growth))
+		return false
+	}
+	return true
+}
+
 func (e *Engine) draining() bool { return e.drainStarted.Load() }
 
 // Drain ends sessions as they become idle outside a transaction, and waits until none
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -73,6 +73,7 @@
 // Limits on the memory that one session may hold.
 const (
 	maxPrepared      = 1000
+	maxPreparedBytes = 2 << 20 // names and texts; at least one text of a message's largest size
 	maxSettings      = 200
 	maxSettingsBytes = 64 << 10
 )
@@ -88,6 +89,7 @@
 	settings          []statement.Setting // sorted by name
 	settingsBytes     int                 // total size of names and values in settings
 	prepared          map[string]statement.Prepared
+	preparedBytes     int           // total size of names and texts in prepared
 	mark              topology.Mark // position of the session's latest commit
 	txn               *txn
 	receivedStatement bool // at least one statement was read
@@ -238,6 +240,7 @@
 func (s *session) close() {
 	s.rollBack()
 	_ = s.conn.Close() // the session has ended
+	s.engine.reserveState(-s.preparedBytes - s.settingsBytes)
 	s.engine.unregister(s)
 }
 
@@ -342,7 +345,7 @@
 		if _, known := s.prepared[st.Name]; !known {
 			return s.failure(statement.UnknownPrepared, "no prepared statement "+st.Name)
 		}
-		delete(s.prepared, st.Name)
+		s.releasePrepared(st.Name)
 		return s.success()
 	}
 }
@@ -354,10 +357,29 @@
 	if _, known := s.prepared[st.Name]; !known && len(s.prepared) >= maxPrepared {
 		return s.failure(statement.TooLarge, fmt.Sprintf("more than %d prepared statements", maxPrepared))
 	}
+	growth := len(st.Name) + len(st.Value)
+	if old, known := s.prepared[st.Name]; known {
+		growth -= len(st.Name) + len(old.Text)
+	}
+	if s.preparedBytes+growth > maxPreparedBytes {
+		return s.failure(statement.TooLarge, "the session's prepared statements take too much memory")
+	}
+	if !s.engine.reserveState(growth) {
+		return s.failure(statement.Busy, "the sessions of this VM take too much memory")
+	}
+	s.preparedBytes += growth
 	s.prepared[st.Name] = statement.Prepared{Writes: st.Writes, Text: st.Value}
 	return s.success()
 }
 
+// releasePrepared forgets a prepared statement.
+func (s *session) releasePrepared(name string) {
+	size := len(name) + len(s.prepared[name].Text)
+	delete(s.prepared, name)
+	s.preparedBytes -= size
+	s.engine.reserveState(-size)
+}
+
 // handleSet stores a setting. It copies the slice because requests in flight share
 // the old one.
 func (s *session) handleSet(st statement.Statement) statement.Reply {
@@ -379,6 +401,9 @@
 	if s.settingsBytes+growth > maxSettingsBytes || !found && len(s.settings) >= maxSettings {
 		return s.failure(statement.TooLarge, "the session's values take too much memory")
 	}
+	if !s.engine.reserveState(growth) {
+		return s.failure(statement.Busy, "the sessions of this VM take too much memory")
+	}
 	s.settingsBytes += growth
 	settings := slices.Clone(s.settings)
 	if found {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -455,3 +456,27 @@
 	s.serve()
 	f.g.Expect(f.engine.Sessions()).To(Equal(before - 1))
 }
+
+// Prepared statements and values of a VM's sessions are bounded in bytes, each session's
+// and all together, and what a session ends or replaces is free again.
+func TestSessionStateIsBounded(t *testing.T) {
+	f := newFixture(t, "latest")
+	f.engine.options.MaxStateBytes = 3 << 20
+	sessions := make([]*session, 4)
+	for i := range sessions {
+		sessions[i] = &session{engine: f.engine, id: uint64(i), database: "latest", state: statement.Idle}
+	}
+	prepare := func(s *session, name string, size int) statement.Code {
+		return s.handlePrepare(statement.Statement{Verb: statement.Prepare, Name: name, Value: strings.Repeat("x", size)}).Code
+	}
+	const large = 1 << 20
+	f.g.Expect(prepare(sessions[0], "a", large)).To(Equal(statement.NoError))
+	f.g.Expect(prepare(sessions[0], "a", large)).To(Equal(statement.NoError), "replaces the first")
+	f.g.Expect(prepare(sessions[0], "b", large)).To(Equal(statement.TooLarge))
+	f.g.Expect(prepare(sessions[1], "a", large)).To(Equal(statement.NoError))
+	f.g.Expect(prepare(sessions[2], "a", large)).To(Equal(statement.Busy))
+	f.g.Expect(prepare(sessions[2], "a", 200)).To(Equal(statement.NoError), "ordinary statements go on")
+	f.g.Expect(sessions[1].handleLocal(statement.Statement{Verb: statement.Deallocate, Name: "a"}).Code).To(Equal(statement.NoError))
+	f.g.Expect(prepare(sessions[3], "a", large)).To(Equal(statement.NoError))
+	f.g.Expect(f.engine.stateBytes.Load()).To(BeEquivalentTo(2*(large+1) + 200 + 1))
+}
