End transactions of a stopping process after their running statement

At a planned stop, transactions whose statement was running when half of the grace period had passed went on until the process ended, which cut their statements off without an answer (LOST). Cause: the transactions were interrupted at one moment only, where they waited for their caller. The next statement of the others started a new idle time-out. Change: from half of the grace period on, a transaction is rolled back as soon as its running statement is answered. Its caller gets ABORTED for its next statement if that arrives within a second; before, its connection ended at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -288,7 +288,7 @@
 	n.serving.Store(false)
 	n.components.Control.Leave()
 	time.Sleep(min(notReadyDelay, n.settings.Grace/2))
-	rollbackTimer := time.AfterFunc(n.settings.Grace/2-(clock.Boottime()-stopStart), n.components.Sessions.RollBackIdleTransactions)
+	rollbackTimer := time.AfterFunc(n.settings.Grace/2-(clock.Boottime()-stopStart), n.components.Sessions.EndTransactions)
 	defer rollbackTimer.Stop()
 	_ = n.components.Listeners.callers.Close() // may be closed already
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.Grace-(clock.Boottime()-stopStart)-stopMargin)
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -78,6 +78,7 @@
 	lastSessionID     atomic.Uint64
 	successLogLimiter *rate.Limiter
 	drainStarted      atomic.Bool
+	transactionsEnded atomic.Bool  // transactions go on no longer
 	stateBytes        atomic.Int64 // total size of the sessions' values and prepared statements
 	active            sync.WaitGroup
 
@@ -213,13 +214,15 @@
 	}
 }
 
-// RollBackIdleTransactions rolls back the transactions that wait for their caller's
-// next statement. It is called when half of the shutdown grace period has passed.
-func (e *Engine) RollBackIdleTransactions() {
+// EndTransactions rolls back the transactions that wait for their caller's next statement,
+// and the others when their statement has been answered. It is called when half of the
+// shutdown grace period has passed.
+func (e *Engine) EndTransactions() {
+	e.transactionsEnded.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for s := range e.sessions {
-		_ = s.conn.SetReadDeadline(time.Now()) // a session that runs a statement sets a new deadline before its next read
+		_ = s.conn.SetReadDeadline(time.Now()) // a session that runs a statement checks transactionsEnded before its next read
 	}
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -158,18 +158,26 @@
 
 // prepareRead sets the read deadline for the next statement and reports whether the
 // session should wait for it. Inside a transaction the idle-in-transaction time-out
-// applies. Outside a transaction a draining engine ends the session.
+// applies, until a stop ends all transactions. Outside a transaction a draining engine ends
+// the session.
 func (s *session) prepareRead() bool {
 	if s.txn != nil {
 		limit := s.txn.entry.IdleInTxn.Duration()
 		if limit <= 0 {
 			limit = s.engine.options.IdleInTxn
 		}
-		return s.conn.SetReadDeadline(time.Now().Add(limit)) == nil
+		err := s.conn.SetReadDeadline(time.Now().Add(limit))
+		if s.engine.transactionsEnded.Load() && !s.conn.Buffered() {
+			err = s.conn.SetReadDeadline(time.Now())
+		}
+		return err == nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.engine.draining() && !s.conn.Buffered() {
+		if s.state == statement.Failed {
+			return s.conn.SetReadDeadline(time.Now().Add(failedTransactionWait)) == nil
+		}
 		if s.receivedStatement {
 			return false
 		}
@@ -184,6 +192,10 @@
 // of a session: several times the round trip to a caller.
 const firstStatementTimeout = 300 * time.Millisecond
 
+// failedTransactionWait is how long a draining engine waits for the next statement of a
+// caller whose transaction it has rolled back, to tell the caller so.
+const failedTransactionWait = time.Second
+
 func (s *session) setIdle(idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -437,6 +437,72 @@
 	f.g.Expect(idle.closed).To(BeTrue())
 }
 
+// pipeConn is a Conn over one end of net.Pipe, which has read deadlines. Each byte received
+// stands for the next statement of the script.
+type pipeConn struct {
+	scriptConn
+	net.Conn
+}
+
+func (c *pipeConn) Buffered() bool                     { return false }
+func (c *pipeConn) SetReadDeadline(at time.Time) error { return c.Conn.SetReadDeadline(at) }
+func (c *pipeConn) Close() error                       { return c.Conn.Close() }
+
+func (c *pipeConn) Read() (statement.Statement, error) {
+	if _, err := c.Conn.Read(make([]byte, 1)); err != nil {
+		return statement.Statement{}, err
+	}
+	return c.scriptConn.Read()
+}
+
+func (c *pipeConn) lastReply() statement.Reply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.replies) == 0 {
+		return statement.Reply{}
+	}
+	return c.replies[len(c.replies)-1]
+}
+
+// A transaction whose statement was running at half of the grace period went on until the
+// process ended, which cut its statements off.
+func TestStopEndsTransactionAfterItsRunningStatement(t *testing.T) {
+	f := newFixture(t, "own")
+	f.engine.options.IdleInTxn = time.Hour
+	running, release := make(chan struct{}), make(chan struct{})
+	f.broker.run = func(r broker.Request) broker.Result {
+		close(running)
+		<-release
+		result := success(r)
+		result.Reply.State = statement.InTxn
+		return result
+	}
+	here, there := net.Pipe()
+	c := &pipeConn{Conn: there, scriptConn: scriptConn{script: []statement.Statement{
+		{ID: "b", Verb: statement.BeginRead}, {ID: "r", Text: "READ 1", Verb: statement.Read}, {ID: "c", Verb: statement.Commit},
+	}}}
+	sendNext := func() {
+		_, err := here.Write([]byte{0})
+		f.g.Expect(err).NotTo(HaveOccurred())
+	}
+	s := &session{engine: f.engine, id: 1, conn: c, database: "own"}
+	f.g.Expect(f.engine.register(s)).To(BeTrue())
+	go s.serve()
+	sendNext()
+	sendNext()
+	<-running
+	drained := make(chan error, 1)
+	go func() { drained <- f.engine.Drain(context.Background()) }()
+	f.g.Eventually(f.engine.draining).Should(BeTrue())
+	f.engine.EndTransactions()
+	close(release)
+	f.g.Eventually(func() int { f.broker.mu.Lock(); defer f.broker.mu.Unlock(); return len(f.broker.released) }, "20s").Should(Equal(1), "rolled back")
+	f.g.Expect(c.lastReply().OK()).To(BeTrue(), "the running statement was answered")
+	sendNext()
+	f.g.Eventually(drained, "20s").Should(Receive(BeNil()))
+	f.g.Expect(c.lastReply().Code).To(Equal(statement.Aborted))
+}
+
 // faultyConn panics when the first statement is read.
 type faultyConn struct{ Conn }
 
