Do not close links after a pause of this process

A process that had been frozen closed its links with one-way messages at once, and those with open calls 50 ms later: their silence was that of the pause, and what the peers had sent was not read yet. Change: after a gap of 500 ms between two checks the links' measurement of silence restarts. Evidence: TestLinksOutliveAPauseOfThisProcess fails without it (mutation).

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -157,6 +157,7 @@
 	defer n.goroutines.Done()
 	ticker := time.NewTicker(n.opts.CheckInterval)
 	defer ticker.Stop()
+	lastCheck := n.opts.Now()
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -164,11 +165,28 @@
 		case <-ticker.C:
 		}
 		now := n.opts.Now()
-		n.mu.Lock()
+		n.checkLinks(now, now-lastCheck > pauseLimit)
+		lastCheck = now
+	}
+}
+
+// pauseLimit is the time between two checks after which this process is taken to have been
+// paused. What its peers have sent meanwhile may not be read yet.
+const pauseLimit = 500 * time.Millisecond
+
+// checkLinks checks all links. After a pause of this process it restarts their measurement
+// of silence instead.
+func (n *Node) checkLinks(now time.Duration, paused bool) {
+	n.mu.Lock()
+	if !paused {
 		n.closeIdleLinks(now)
-		links := n.openLinks()
-		n.mu.Unlock()
-		for _, l := range links {
+	}
+	links := n.openLinks()
+	n.mu.Unlock()
+	for _, l := range links {
+		if paused {
+			l.conn.restart()
+		} else {
 			l.checkLiveness(now)
 		}
 	}
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -236,3 +236,18 @@
 	c.link.close(nil)
 	<-done
 }
+
+// A process that was paused closed its links at once, before it had read what their other
+// ends had sent.
+func TestLinksOutliveAPauseOfThisProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startRelayedPair(t)
+	l := p.oneWayLink(g)
+	pause := 3 * time.Second
+	l.conn.lastRead.Store(int64(l.opts.Now() - pause))
+	l.expectProof()
+	l.conn.lastRead.Store(int64(l.opts.Now() - pause))
+	p.a.checkLinks(l.opts.Now(), true)
+	p.a.checkLinks(l.opts.Now(), false)
+	g.Expect(l.closeErr()).NotTo(gomega.HaveOccurred())
+}
