Wait for connections that are opening before refusing work as unconnected

Callers saw: a statement refused with connect_failed although a connection to its server opened within a few milliseconds.

Cause: a home opens two connections at a time. When the server refuses one of them as too many before the other has been registered, the pool has no open connection and an error, and refuses all waiting work at once.

Change: the pool numbers its attempts. It counts as unavailable only once every attempt that was pending at the first failure has failed as well, so the wait is bounded by one connect timeout; while the server keeps refusing, work is refused at once as before.

Evidence: the log of a failing run shows connect_failed with open=0, then the refusal by the queue 0.6 ms after the statement arrived.

--- a/internal/broker/connections.go
+++ b/internal/broker/connections.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,13 +60,15 @@
 	nextRaise      time.Duration
 	inUse          int // by the admission queue's count
 	wanted         int
-	open           int // idle or in use
-	opening        int
+	open           int      // idle or in use
+	opening        []uint64 // attempts to connect, by number, in the order of their start
+	attempts       uint64   // number of the last attempt to connect
 	idle           []*pooledConn
 	nextVerify     time.Duration
 	nextAttempt    time.Duration
 	backOff        *backoff.ExponentialBackOff
-	lastError      error // of the last attempt to connect; nil after success
+	awaitedAttempt uint64 // number of the last attempt at the first failure since a success; 0: none failed
+	lastError      error  // once all attempts up to awaitedAttempt have failed, until a success
 	available      chan struct{}
 	closed         bool
 }
@@ -94,30 +97,33 @@
 func (c *connPool) setDemand(used, wanted int) {
 	c.mu.Lock()
 	c.inUse, c.wanted = used, wanted
-	n := c.reserveToOpen()
+	attempts := c.reserveToOpen()
 	c.mu.Unlock()
-	c.openAsync(n)
+	c.openAsync(attempts)
 }
 
-// reserveToOpen returns the number of connections to open now and counts them as
+// reserveToOpen returns the attempts to connect that are to start now and counts them as
 // opening. The caller holds mu.
-func (c *connPool) reserveToOpen() int {
+func (c *connPool) reserveToOpen() []uint64 {
 	if c.closed || clock.Boottime() < c.nextAttempt {
-		return 0
+		return nil
 	}
 	target := min(c.effectiveLimit, c.inUse+c.wanted+c.spare)
-	n := max(0, min(target-c.open-c.opening, maxOpening-c.opening))
-	c.opening += n
-	return n
+	opening := len(c.opening)
+	for range min(target-c.open-opening, maxOpening-opening) {
+		c.attempts++
+		c.opening = append(c.opening, c.attempts)
+	}
+	return slices.Clone(c.opening[opening:])
 }
 
-func (c *connPool) openAsync(n int) {
-	for range n {
-		go c.openOne()
+func (c *connPool) openAsync(attempts []uint64) {
+	for _, attempt := range attempts {
+		go c.openOne(attempt)
 	}
 }
 
-func (c *connPool) openOne() {
+func (c *connPool) openOne(attempt uint64) {
 	sentAt := clock.Boottime()
 	ctx, cancel := context.WithTimeout(c.server.ctx, c.server.options.ConnectTimeout)
 	conn, err := c.server.connector.Connect(ctx, c.server.database, c.server.spec)
@@ -125,14 +131,14 @@
 	c.server.recordResponse(sentAt, err)
 	c.server.metrics.observeConnect(err)
 	c.mu.Lock()
-	c.opening--
+	c.opening = slices.DeleteFunc(c.opening, func(other uint64) bool { return other == attempt })
 	if err != nil {
 		c.scheduleRetry(err)
 	} else if c.closed {
 		conn.Close()
 	} else {
 		c.open++
-		c.lastError = nil
+		c.awaitedAttempt, c.lastError = 0, nil
 		c.backOff.Reset()
 		c.effectiveLimit = min(c.effectiveLimit+1, c.limit)
 		c.idle = append(c.idle, &pooledConn{
@@ -145,13 +151,20 @@
 }
 
 // scheduleRetry sets the time of the next attempt and lowers the effective limit if the
-// server refused the connection as one too many. The caller holds mu.
+// server refused the connection as one too many. The server counts as unavailable only
+// once the attempts that were pending at the first failure have failed as well. The caller
+// holds mu.
 func (c *connPool) scheduleRetry(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
 	now := clock.Boottime()
-	c.lastError = err
+	if c.awaitedAttempt == 0 {
+		c.awaitedAttempt = c.attempts
+	}
+	if len(c.opening) == 0 || c.opening[0] > c.awaitedAttempt {
+		c.lastError = err
+	}
 	c.nextAttempt = now + c.backOff.NextBackOff()
 	if connectRefusalCode(err) == statement.TooManyConnections {
 		c.effectiveLimit = max(1, min(c.effectiveLimit, c.open))
@@ -204,7 +217,7 @@
 		c.effectiveLimit++
 		c.nextRaise = now + limitRaiseInterval
 	}
-	n := c.reserveToOpen()
+	attempts := c.reserveToOpen()
 	var surplus []*pooledConn
 	isSurplus := func(p *pooledConn) bool {
 		return c.open > c.effectiveLimit || c.idleTimeout > 0 && now-p.idleSince > c.idleTimeout
@@ -216,7 +229,7 @@
 	}
 	open := c.open
 	c.mu.Unlock()
-	c.openAsync(n)
+	c.openAsync(attempts)
 	for _, p := range surplus {
 		p.Close()
 	}
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -291,6 +291,13 @@
 	s.maxConnections = n
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return len(s.conns)
+}
+
 // Statements returns every statement that the server received, each as "ID TEXT".
 func (s *Server) Statements() []string {
 	s.group.mu.Lock()
