Learn the list of VMs from control's reads

Change: the refresher observes the lists that control reads on the same VM every 5 s and reads the list itself only when that is older than 6 s. The list may be 8 s older than the designations now, so the window in which changes of the list lengthen a promotion's wait is 19 s instead of 14.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -385,7 +385,7 @@
 		o.Seeds = append(o.Seeds, topology.VM{ID: addr, PeerAddr: addr})
 	}
 	deps := control.Deps{
-		Self: s.Self, Store: a.Store, Peers: n, Registrar: n, Publisher: p,
+		Self: s.Self, Store: refresher.ObserveLists(a.Store), Peers: n, Registrar: n, Publisher: p,
 		RegisterSelf: func(ctx context.Context) error { return a.Registrar.RegisterVM(ctx, s.Self) },
 		Log:          log.Named("control"), Metrics: m,
 	}
--- a/internal/primacy/run/vmlist.go
+++ b/internal/primacy/run/vmlist.go
@@ -37,6 +37,32 @@
 		r.deps.Log.Debug("vm_list_not_read", "error", err)
 		return nil, err
 	}
+	return r.recordList(list, asOf), nil
+}
+
+// ObserveLists returns a store that is used like the given one. The refresher learns the
+// lists of VMs that are read through it and need not read them itself.
+func (r *Refresher) ObserveLists(s platform.Store) platform.Store {
+	return &observedStore{Store: s, refresher: r}
+}
+
+type observedStore struct {
+	platform.Store
+	refresher *Refresher
+}
+
+// VMs implements platform.Store.
+func (s *observedStore) VMs(ctx context.Context) (platform.VMList, error) {
+	asOf := clock.Boottime()
+	list, err := s.Store.VMs(ctx)
+	if err == nil {
+		s.refresher.recordList(list, asOf)
+	}
+	return list, err
+}
+
+// recordList keeps a list of VMs that was requested at asOf and returns the VMs' IDs.
+func (r *Refresher) recordList(list platform.VMList, asOf time.Duration) []string {
 	read := listRead{epoch: platform.EpochOf(list.Revision), asOf: asOf, arrived: clock.Boottime()}
 	for _, vm := range list.VMs {
 		read.ids = append(read.ids, vm.ID)
@@ -47,7 +73,7 @@
 	if read.asOf > r.list.asOf {
 		r.list = read
 	}
-	return read.ids, nil
+	return read.ids
 }
 
 // confirmList takes over the last list of VMs once the designations have been read after
