Promote no other server while a late call may still take effect

A promotion call got no answer, its repetition did; 4 s later, after the next release had promoted another server, the platform executed the first call, which replaced that server on a platform that does not refuse low fencing tokens.

Cause: a promotion counted as over with the first answer. Nobody knew that an earlier call of it was still under way.

Change: the VM that has made the calls records in the group's duty that they have ended, at once if all were answered, otherwise 8 s after the last one that was not; the mark travels with the designation. Until then a leaving primary is not replaced and goes on serving. Where there is nothing to go on with (the primary failed, or the VM that made the calls has died), the next call for another server is sent 8 s after no VM may send one of the designation before. A server that has been registered as primary for 12 s has no pending calls, so records of earlier builds cost nothing. A VM ends the repetition once its server is registered as primary.

TestUnresponsivePrimaryIsReplaced expects the new record of ended calls, with its failed attempt and its repetition.

Price: one more write to the store for each promotion. A primary that fails within 8 s after an unanswered promotion call of its own is replaced up to 8 s later.

--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -166,6 +166,30 @@
 	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
 }
 
+// The first promotion call gets no response and is executed seconds later, when the next
+// primary is about to be replaced as planned: it must not replace the one after that.
+func TestLatePromotionCallReplacesNoLaterPrimary(t *testing.T) {
+	f := newPartitionedFleet(t)
+	const late = 4 * time.Second
+	f.store.ExecutePromotionsLate(1, late)
+	executedAt := time.Now().Add(late)
+	stop := make(chan struct{})
+	writers := f.runWriters([]int{0, 1, 2}, "shop", stop)
+	for range 2 {
+		replaced := f.group.Primary()
+		f.g.Eventually(func() string {
+			f.registerServer(zoneOf(replaced), "draining") // a call that takes effect registers all servers as ready
+			return f.group.Primary()
+		}, "30s", "500ms").ShouldNot(Equal(replaced))
+		f.registerServers()
+	}
+	last := f.group.Primary()
+	time.Sleep(max(0, time.Until(executedAt)) + time.Second)
+	f.g.Expect(f.group.Primary()).To(Equal(last))
+	close(stop)
+	f.expectNoneAcknowledgedAfterPromotion(writers())
+}
+
 func zoneOf(server string) string { return strings.TrimPrefix(server, "s-") }
 
 // Where the VM behind the cut is connected to the others, it makes the old primary step
--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -113,7 +113,7 @@
 	if d == (topology.Designation{}) {
 		return 0
 	}
-	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%d", database, d.Server, d.Holder, d.Token))
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%d\x00%t", database, d.Server, d.Holder, d.Token, d.CallsEnded))
 }
 
 // ConfirmFull records that every designation made before asOf has been merged.
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -138,7 +138,7 @@
 
 func (r *Refresher) announce(added map[string]topology.Designation, from string) {
 	for database, d := range added {
-		r.deps.Log.Info("primary_designated", "database", database, "server", d.Server, "holder", d.Holder, "token", d.Token, "from", from)
+		r.deps.Log.Info("primary_designated", "database", database, "server", d.Server, "holder", d.Holder, "token", d.Token, "calls_ended", d.CallsEnded, "from", from)
 		r.learned(database, d)
 	}
 }
--- a/internal/primacy/run/settle.go
+++ b/internal/primacy/run/settle.go
@@ -166,6 +166,7 @@
 		}
 		value, err := json.Marshal(promotion.Duty{
 			Server: d.Server, Holder: d.Holder, Epoch: platform.EpochOf(d.Token), Token: d.Token, Term: d.Term, Received: d.Received,
+			CallsEnded: d.CallsEnded,
 		})
 		if err != nil {
 			panic(err) // strings and numbers always encode
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -40,6 +40,7 @@
 	refusedServers    map[string]bool // servers that the platform refused since the last reset
 	designatedReached bool            // another VM reaches the designated server, so no other is elected
 	lastPromoted      string          // server promoted last
+	awaitedCalls      uint64          // token whose calls this VM has begun to wait for
 }
 
 // attempt is one promotion, from the election on.
@@ -50,6 +51,11 @@
 	received     topology.Mark // log that the elected server has received
 	safeAt       time.Duration
 	nextStepDown time.Duration
+	unanswered   bool // a call of this attempt has had no answer
+	// pendingServer is the server of the designation before if calls for it may still take
+	// effect; callsPendingUntil is when they have ended, where they name the same server.
+	pendingServer     string
+	callsPendingUntil time.Duration
 	// stepDownSuffices is set if no VM can use any other server than oldPrimary.
 	stepDownSuffices bool
 }
@@ -59,6 +65,8 @@
 	designation topology.Designation
 	lastPrimary string        // last known primary
 	changedAt   time.Duration // when the primary or the designation changed last
+	leadsSince  time.Duration // since when the designated server has been registered as primary; 0: it is not
+	callsEnded  bool          // the designated server has been registered for long enough for its calls to have ended
 }
 
 // replacedPrimary is a primary that has been replaced and may not know it yet.
@@ -80,6 +88,7 @@
 	histories    map[string]history             // by database
 	replaced     map[string]replacedPrimary     // by database
 	stepDowns    map[string]bool                // databases with a step-down in flight
+	ending       map[string]endingCalls         // by database; calls of this VM's last promotion
 	effects      []reducer.Effect
 }
 
@@ -87,7 +96,7 @@
 func New(o Options, self string) *Machine {
 	return &Machine{
 		options: o, self: self, groups: map[string]*groupState{}, deregistered: map[string]deregisteredReplica{},
-		histories: map[string]history{}, replaced: map[string]replacedPrimary{}, stepDowns: map[string]bool{},
+		histories: map[string]history{}, replaced: map[string]replacedPrimary{}, stepDowns: map[string]bool{}, ending: map[string]endingCalls{},
 	}
 }
 
@@ -117,6 +126,8 @@
 		m.handleSteppedDown(e)
 	case PromoteResult:
 		m.handlePromoteResult(e)
+	case CallsEndRecorded:
+		m.handleCallsEndRecorded(e)
 	}
 	return m.effects
 }
@@ -149,6 +160,7 @@
 		m.checkGroup(g, m.groups[database])
 	}
 	m.stepDownReplaced()
+	m.recordEndedCalls()
 }
 
 // recordHistories records changes of the primaries and the designations.
@@ -160,9 +172,10 @@
 	}
 	for database, g := range m.snapshot.Groups {
 		h, known := m.histories[database]
-		if !known || h.designation != g.Designation || g.Primary != "" && g.Primary != h.lastPrimary {
+		if !known || !h.designation.Same(g.Designation) || g.Primary != "" && g.Primary != h.lastPrimary {
 			h.changedAt = m.now
 		}
+		h = m.recordLead(h, g)
 		h.designation = g.Designation
 		if g.Primary != "" {
 			h.lastPrimary = g.Primary
@@ -171,6 +184,19 @@
 	}
 }
 
+// recordLead records since when the designated server of a group has been its primary.
+func (m *Machine) recordLead(h history, g *topology.Group) history {
+	h.callsEnded = h.designation.Same(g.Designation) && (h.callsEnded || m.leadsForLong(h))
+	leads := g.Designation.Server != "" && g.Primary == g.Designation.Server
+	switch {
+	case !leads:
+		h.leadsSince = 0
+	case h.leadsSince == 0 || !h.designation.Same(g.Designation):
+		h.leadsSince = max(m.now, 1)
+	}
+	return h
+}
+
 func sortedKeys(groups map[string]*topology.Group) []string {
 	keys := make([]string, 0, len(groups))
 	for k := range groups {
@@ -217,6 +243,13 @@
 	switch {
 	case !known && m.now-s.noPrimarySince >= m.options.NoPrimaryLimit:
 		m.replaceMissingPrimary(g, s)
+	case known && primary.State == topology.ServerLeaving && m.callsMayBePending(g):
+		// It goes on serving meanwhile.
+		if s.awaitedCalls != g.Designation.Token {
+			s.awaitedCalls = g.Designation.Token
+			m.log("promotion_waits", "database", g.Database, "reason", "calls for the primary may still take effect", "token", g.Designation.Token)
+		}
+		s.nextStep = m.now + m.options.RetryDelay
 	case known && primary.State == topology.ServerLeaving:
 		m.startElection(g, s, "the primary is leaving", primary.ID)
 	case known && m.unresponsiveFor(s) >= m.options.UnresponsiveLimit:
@@ -475,7 +508,7 @@
 func (m *Machine) claim(s *groupState) {
 	s.phase = phaseClaim
 	a := &s.attempt
-	m.emit(ClaimDuty{Database: a.call.Database, Server: a.call.Server, Term: a.term, Received: a.received})
+	m.emit(ClaimDuty{Database: a.call.Database, Server: a.call.Server, Term: a.term, Received: a.received, EndedToken: m.endedToken(a.call.Database)})
 }
 
 // reasonGone reports whether the group no longer needs a promotion: it has a primary
@@ -498,12 +531,14 @@
 	// The designation is in force now, so the promotion continues even if the old primary
 	// responds again.
 	a := &s.attempt
-	a.call.Token = e.Token
+	a.call.Token, a.pendingServer = e.Token, e.PendingServer
 	s.phase = phaseAcknowledge
-	m.emit(Acknowledge{
-		Database: e.Database, OldPrimary: a.replacedServer(), Term: a.term,
-		Designation: topology.Designation{Server: a.call.Server, Holder: m.self, Token: e.Token, Term: a.term, Received: a.received},
-	})
+	m.emit(Acknowledge{Database: e.Database, OldPrimary: a.replacedServer(), Term: a.term, Designation: a.designation()})
+}
+
+// designation returns the designation that the attempt has recorded.
+func (a *attempt) designation() topology.Designation {
+	return topology.Designation{Server: a.call.Server, Holder: a.call.Holder, Token: a.call.Token, Term: a.term, Received: a.received}
 }
 
 // replacedServer returns the server to make a replica; empty if there is none.
@@ -520,15 +555,31 @@
 		return
 	}
 	a := &s.attempt
-	wait := e.SafeAt > m.now && !(e.SteppedDown && a.stepDownSuffices)
+	safeAt := m.awaitPendingCalls(a, e.SafeAt)
+	wait := safeAt > m.now && !(e.SteppedDown && a.stepDownSuffices)
 	m.log("designation_acknowledged", "database", e.Database, "server", a.call.Server, "token", e.Token,
-		"old_primary", a.oldPrimary, "silent", e.Silent, "stepped_down", e.SteppedDown, "waits", wait, "safe_in", max(0, e.SafeAt-m.now))
+		"old_primary", a.oldPrimary, "silent", e.Silent, "stepped_down", e.SteppedDown, "waits", wait, "safe_in", max(0, safeAt-m.now), "calls_pending_for", a.pendingServer)
 	if !wait {
 		m.promote(s)
 		return
 	}
 	s.phase = phaseWaiting
-	a.safeAt, a.nextStepDown = e.SafeAt, m.now
+	a.safeAt, a.nextStepDown = safeAt, m.now
+}
+
+// awaitPendingCalls returns when the promotion call may be sent. Calls of the designation
+// before may be sent until safeAt, and take effect until LateCallLimit later: they must not
+// follow a call for another server.
+func (m *Machine) awaitPendingCalls(a *attempt, safeAt time.Duration) time.Duration {
+	if a.pendingServer == "" {
+		return safeAt
+	}
+	a.callsPendingUntil = max(safeAt, m.now) + m.options.LateCallLimit
+	if a.pendingServer == a.call.Server {
+		return safeAt
+	}
+	a.stepDownSuffices = false
+	return a.callsPendingUntil
 }
 
 // continueAttempt continues an attempt that waits for a point in time.
@@ -540,6 +591,8 @@
 	case s.phase == phaseWaiting && a.stepDownSuffices && m.now >= a.nextStepDown:
 		a.nextStepDown = m.now + m.options.StepDownInterval
 		m.stepDown(StepDown{Database: g.Database, Server: a.oldPrimary, Term: a.term})
+	case s.phase == phasePromotionRetry && g.Primary == a.call.Server && g.Designation.Token == a.call.Token:
+		m.completePromotion(s) // an unanswered call has taken effect
 	case s.phase == phasePromotionRetry && m.now >= s.nextStep:
 		m.promote(s)
 	}
@@ -610,11 +663,13 @@
 	m.log("promotion_called", "database", e.Call.Database, "server", e.Call.Server, "token", e.Call.Token,
 		"reason", s.reason, "error", e.Err)
 	s.phase, s.nextStep = phaseMonitoring, m.now+m.options.RetryDelay
+	s.attempt.unanswered = s.attempt.unanswered || e.Unanswered
 	var refused *RefusedError
 	var superseded *SupersededError
 	switch {
 	case errors.As(e.Err, &refused):
 		s.refusedServers[e.Call.Server] = true
+		m.endCalls(&s.attempt, false) // another claim of this VM follows
 		return
 	case errors.As(e.Err, &superseded):
 		return
@@ -623,10 +678,18 @@
 		s.phase = phasePromotionRetry
 		return
 	}
-	m.emit(AnnouncePrimary{Database: e.Call.Database, Server: e.Call.Server})
+	m.completePromotion(s)
+}
+
+// completePromotion ends an attempt whose server has been promoted.
+func (m *Machine) completePromotion(s *groupState) {
+	call := s.attempt.call
+	s.phase, s.nextStep = phaseMonitoring, m.now+m.options.RetryDelay
+	m.emit(AnnouncePrimary{Database: call.Database, Server: call.Server})
+	m.endCalls(&s.attempt, true)
 	clear(s.refusedServers)
 	if old := s.attempt.replacedServer(); old != "" {
-		m.replaced[e.Call.Database] = replacedPrimary{server: old, term: s.attempt.term, next: m.now, until: m.now + m.options.StepDownLimit}
+		m.replaced[call.Database] = replacedPrimary{server: old, term: s.attempt.term, next: m.now, until: m.now + m.options.StepDownLimit}
 	}
-	s.lastPromoted, s.graceUntil, s.unresponsiveSince, s.noPrimarySince = e.Call.Server, m.now+m.options.PromotionGrace, 0, 0
+	s.lastPromoted, s.graceUntil, s.unresponsiveSince, s.noPrimarySince = call.Server, m.now+m.options.PromotionGrace, 0, 0
 }
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -347,12 +347,133 @@
 	g.Expect(tr.takeEffects()).To(Equal([]reducer.Effect{Promote{Call: call}}))
 	tr.post(PromoteResult{Call: call})
 	g.Expect(tr.takeEffects()).To(Equal([]reducer.Effect{AnnouncePrimary{Database: "orders", Server: "s3"}}))
-	// During the grace period of the new primary, the machine only probes, and tells the old
-	// primary to step down.
+	// During the grace period of the new primary, the machine only probes, tells the old
+	// primary to step down, and records once that its calls have ended.
 	tr.tick(time.Second)
-	for _, e := range tr.takeEffects() {
-		g.Expect(e).To(Or(BeAssignableToTypeOf(Probe{}), Equal(StepDown{Database: "orders", Server: "s1", Term: 1})))
+	designation := topology.Designation{Server: "s3", Holder: "a", Token: 77, Term: 1}
+	effects := tr.takeEffects()
+	g.Expect(effects).To(ContainElement(RecordCallsEnded{Database: "orders", Designation: designation}))
+	for _, e := range effects {
+		g.Expect(e).To(Or(
+			BeAssignableToTypeOf(Probe{}), Equal(StepDown{Database: "orders", Server: "s1", Term: 1}),
+			Equal(RecordCallsEnded{Database: "orders", Designation: designation}),
+		))
 	}
+	tr.post(CallsEndRecorded{Database: "orders", Token: 77, Err: fmt.Errorf("store unavailable")})
+	tr.tick(DefaultOptions().RecordRetryDelay)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})), "a failed record is repeated")
+	tr.post(CallsEndRecorded{Database: "orders", Token: 77})
+	tr.tick(DefaultOptions().RecordRetryDelay)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})))
+}
+
+// promoteUnanswered promotes s3; the first call gets no answer, a repetition does.
+func (t *trace) promoteUnanswered() topology.Designation {
+	call := t.claim("s3")
+	t.post(Acknowledged{Database: "orders", Token: 77})
+	t.post(PromoteResult{Call: call, Unanswered: true})
+	t.takeEffects()
+	return topology.Designation{Server: "s3", Holder: "a", Token: 77, Term: 5}
+}
+
+// The unanswered call may be executed later, so its end is recorded only then.
+func TestEndOfUnansweredCallsIsRecordedAfterLimit(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	designation := tr.promoteUnanswered()
+	record := RecordCallsEnded{Database: "orders", Designation: designation}
+	tr.tick(DefaultOptions().LateCallLimit - time.Millisecond)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(record))
+	tr.tick(time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(record))
+}
+
+// The next release would promote another server, which the late call then replaces.
+func TestLeavingPrimaryIsNotReplacedWhileItsCallsMayTakeEffect(t *testing.T) {
+	for name, end := range map[string]func(tr *trace, d topology.Designation){
+		"another VM records their end": func(tr *trace, d topology.Designation) {
+			d.CallsEnded = true
+			tr.changeGroup(func(grp *topology.Group) { grp.Designation = d })
+		},
+		"it has been registered for long": func(tr *trace, _ topology.Designation) { tr.tick(DefaultOptions().CallsLimit) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tr := newTrace()
+			tr.tick(time.Second)
+			d := topology.Designation{Server: "s1", Holder: "b", Token: 70}
+			tr.changeGroup(func(grp *topology.Group) {
+				grp.Designation, grp.Servers[0].State = d, topology.ServerLeaving
+			})
+			tr.tick(DefaultOptions().RetryDelay)
+			g.Expect(tr.takeEffects()).NotTo(ContainElement(BeAssignableToTypeOf(Elect{})))
+			end(tr, d)
+			tr.tick(DefaultOptions().RetryDelay)
+			g.Expect(tr.takeEffects()).To(ContainElement(Elect{
+				Database: "orders", OutgoingPrimary: "s1", Candidates: []string{"s2", "s3"}, Designation: tr.snapshot.Groups["orders"].Designation,
+			}))
+			tr.post(ElectionResult{Database: "orders", Server: "s2"})
+			g.Expect(tr.takeEffects()).To(ContainElement(ClaimDuty{Database: "orders", Server: "s2", Term: 1, EndedToken: 70}))
+		})
+	}
+}
+
+// The VM that made the calls may have died, so another one waits until they have expired,
+// even if no VM can use the old primary.
+func TestPromotionWaitsForPendingCallsOfAnotherServer(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.elect("s3")
+	tr.takeEffects()
+	tr.post(ClaimResult{Database: "orders", Token: 77, PendingServer: "s2"})
+	tr.takeEffects()
+	tr.post(Acknowledged{Database: "orders", Token: 77, SteppedDown: true})
+	call := Call{Database: "orders", Server: "s3", Holder: "a", Token: 77}
+	tr.tick(DefaultOptions().LateCallLimit - time.Millisecond)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(Promote{Call: call}))
+	tr.tick(time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(Promote{Call: call}))
+	tr.post(PromoteResult{Call: call})
+	tr.tick(50 * time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})), "nothing is pending any more")
+}
+
+// Calls for the same server are harmless now, but remain pending for the next promotion.
+func TestPendingCallsOfSameServerArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.elect("s3")
+	tr.post(ClaimResult{Database: "orders", Token: 77, PendingServer: "s3"})
+	tr.takeEffects()
+	tr.post(Acknowledged{Database: "orders", Token: 77})
+	call := Call{Database: "orders", Server: "s3", Holder: "a", Token: 77}
+	g.Expect(tr.takeEffects()).To(ContainElement(Promote{Call: call}))
+	tr.post(PromoteResult{Call: call})
+	tr.tick(DefaultOptions().LateCallLimit - time.Millisecond)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})))
+	tr.tick(time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})))
+}
+
+// An unanswered call that has taken effect is not repeated, so that its end can be known.
+func TestUnansweredCallThatTookEffectIsNotRepeated(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	call := tr.claim("s3")
+	tr.post(Acknowledged{Database: "orders", Token: 77})
+	tr.post(PromoteResult{Call: call, Err: fmt.Errorf("no response"), Unanswered: true})
+	tr.takeEffects()
+	tr.changeGroup(func(grp *topology.Group) {
+		grp.Primary, grp.Designation = "s3", topology.Designation{Server: "s3", Holder: "a", Token: 77}
+	})
+	tr.snapshot.Homes["s3"] = "a"
+	tr.publish()
+	tr.tick(DefaultOptions().RetryDelay)
+	effects := tr.takeEffects()
+	g.Expect(effects).NotTo(ContainElement(Promote{Call: call}))
+	g.Expect(effects).To(ContainElement(AnnouncePrimary{Database: "orders", Server: "s3"}))
+	tr.tick(DefaultOptions().LateCallLimit)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(RecordCallsEnded{})))
 }
 
 // A probe of a dead server ends only at its time-out. The unresponsive time must grow
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -59,12 +59,14 @@
 	Incarnation uint64 `json:"start"`  // incarnation of the VM
 	Claim       uint64 `json:"claim"`  // number of the claim within the incarnation
 	Epoch       uint64 `json:"epoch"`  // of the store, in which the claim was made
-	// Token is the token of a designation that was written again because the store had lost
-	// it; 0 in a claim, whose token is its version.
+	// Token is the token of a designation that was written again, because the store had lost
+	// it or its calls have ended; 0 in a claim, whose token is its version.
 	Token uint64 `json:"token,omitempty"`
 	// Term and Received are those of the designation.
 	Term     uint64        `json:"term,omitempty"`
 	Received topology.Mark `json:"received"`
+	// CallsEnded is that of the designation. A record with it names its token.
+	CallsEnded bool `json:"callsEnded,omitempty"`
 }
 
 // Designation returns the designation that a duty with the given version records. Its
@@ -80,7 +82,7 @@
 
 // WithToken returns the designation that a duty records under a token.
 func (d Duty) WithToken(token uint64) topology.Designation {
-	return topology.Designation{Server: d.Server, Holder: d.Holder, Token: token, Term: d.Term, Received: d.Received}
+	return topology.Designation{Server: d.Server, Holder: d.Holder, Token: token, Term: d.Term, Received: d.Received, CallsEnded: d.CallsEnded}
 }
 
 // SupersededError reports a promotion that was given up because another VM has made a
@@ -95,6 +97,19 @@
 		e.Call.Server, e.Call.Database, e.Call.Token, e.Newer.Holder, e.Newer.Server, e.Newer.Token)
 }
 
+// UnansweredError reports a promotion call without a response. The platform may execute it
+// later.
+type UnansweredError struct {
+	Call  Call
+	Cause error
+}
+
+func (e *UnansweredError) Error() string {
+	return fmt.Sprintf("promotion of %s in %s with token %d was not answered: %s", e.Call.Server, e.Call.Database, e.Call.Token, e.Cause)
+}
+
+func (e *UnansweredError) Unwrap() error { return e.Cause }
+
 // Options are the time limits and thresholds of the state machine.
 type Options struct {
 	// ProbeInterval is the time between the end of a probe of the primary and the next.
@@ -118,6 +133,14 @@
 	// replica, StepDownLimit how long they continue after the promotion.
 	StepDownInterval time.Duration
 	StepDownLimit    time.Duration
+	// LateCallLimit is how long after it was sent the platform may execute a promotion call
+	// that it has not answered. CallsLimit is how long a promoted server is registered as
+	// primary before its calls count as ended even if their VM has not recorded it: the VM
+	// repeats them for less than the difference.
+	LateCallLimit time.Duration
+	CallsLimit    time.Duration
+	// RecordRetryDelay is the pause after a failed record of ended calls.
+	RecordRetryDelay time.Duration
 	// ReplicaReturnLimit is how long an election waits for a replica whose registration
 	// ended after its primary became unresponsive. It applies to groups with
 	// synchronous replication, where this replica may be the only one that has the last
@@ -140,6 +163,9 @@
 		HolderLimit:        5 * time.Second,
 		StepDownInterval:   500 * time.Millisecond,
 		StepDownLimit:      30 * time.Second,
+		LateCallLimit:      8 * time.Second,
+		CallsLimit:         12 * time.Second,
+		RecordRetryDelay:   time.Second,
 		WitnessCount:       3,
 	}
 }
@@ -229,6 +255,7 @@
 	Database, Server string
 	Term             uint64        // term that the promotion begins, or a lower one
 	Received         topology.Mark // log that the server has received
+	EndedToken       uint64        // token of the last designation if its calls are known to have ended
 }
 
 // EffectName implements reducer.Effect.
@@ -239,6 +266,9 @@
 	Database string
 	Token    uint64
 	Err      error
+	// PendingServer is the server of the designation before if calls for it may still take
+	// effect; empty: none.
+	PendingServer string
 }
 
 // EventName implements reducer.Event.
@@ -296,13 +326,35 @@
 
 // PromoteResult reports the outcome of the promotion call.
 type PromoteResult struct {
-	Call Call
-	Err  error
+	Call       Call
+	Err        error
+	Unanswered bool // the platform may still execute an attempt that it has not answered
 }
 
 // EventName implements reducer.Event.
 func (PromoteResult) EventName() string { return "promoted" }
 
+// RecordCallsEnded records in the store that the calls of a designation have ended. The
+// result is a CallsEndRecorded.
+type RecordCallsEnded struct {
+	Database    string
+	Designation topology.Designation
+}
+
+// EffectName implements reducer.Effect.
+func (RecordCallsEnded) EffectName() string { return "record_calls_ended" }
+
+// CallsEndRecorded reports the result of RecordCallsEnded. A newer designation in the store
+// is no error.
+type CallsEndRecorded struct {
+	Database string
+	Token    uint64
+	Err      error
+}
+
+// EventName implements reducer.Event.
+func (CallsEndRecorded) EventName() string { return "calls_end_recorded" }
+
 // AnnouncePrimary informs control of a group's primary before the servers'
 // registrations show it.
 type AnnouncePrimary struct{ Database, Server string }
--- a/internal/promotion/run/claim.go
+++ b/internal/promotion/run/claim.go
@@ -21,6 +21,7 @@
 	Database string         `msgpack:"d"`
 	Known    uint64         `msgpack:"t"` // token of the newest designation that the requester knows
 	Duty     promotion.Duty `msgpack:"y"`
+	Ended    uint64         `msgpack:"n"` // token of a designation whose calls the requester knows to have ended
 }
 
 // claimResponse is the response of method.Claim.
@@ -28,6 +29,8 @@
 	Token  uint64   `msgpack:"v"`           // of the claim; 0: it was not written
 	Listed []string `msgpack:"l,omitempty"` // VMs in the list, read after the claim was written
 	Detail string   `msgpack:"d,omitempty"`
+	// PendingServer is that of promotion.ClaimResult.
+	PendingServer string `msgpack:"p,omitempty"`
 }
 
 // OtherEpochError reports a claim that the store has executed in another epoch than that
@@ -52,37 +55,42 @@
 	x.claimCount++
 	duty := promotion.Duty{Server: e.Server, Holder: x.deps.Self, Incarnation: x.deps.Incarnation, Claim: x.claimCount, Epoch: epoch, Term: e.Term, Received: e.Received}
 	x.mu.Unlock()
-	request := claimRequest{Database: e.Database, Known: x.deps.Primacy.Ledger().Designation(e.Database).Token, Duty: duty}
-	token, err := x.writeClaim(ctx, request)
+	request := claimRequest{Database: e.Database, Known: x.deps.Primacy.Ledger().Designation(e.Database).Token, Duty: duty, Ended: e.EndedToken}
+	written, err := x.writeClaim(ctx, request)
 	var unavailable *platform.UnavailableError
 	if errors.As(err, &unavailable) {
-		token, err = x.writeClaimThroughPeer(ctx, request, err)
+		written, err = x.writeClaimThroughPeer(ctx, request, err)
 	}
 	if err != nil {
 		return promotion.ClaimResult{Database: e.Database, Err: err}
 	}
-	x.deps.Primacy.Record(e.Database, duty.WithToken(token))
-	return promotion.ClaimResult{Database: e.Database, Token: token}
+	x.deps.Primacy.Record(e.Database, duty.WithToken(written.Token))
+	return promotion.ClaimResult{Database: e.Database, Token: written.Token, PendingServer: written.PendingServer}
 }
 
-// writeClaim writes a claim to the store and returns its token. A claim that the store has
+// writeClaim writes a claim to the store and returns its token, without a list of VMs. A claim that the store has
 // executed in another epoch than that for which it was made counts as not written: it may
 // have replaced any record.
-func (x *Executor) writeClaim(ctx context.Context, r claimRequest) (uint64, error) {
+func (x *Executor) writeClaim(ctx context.Context, r claimRequest) (claimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	value, err := json.Marshal(r.Duty)
 	if err != nil {
-		return 0, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: err}
+		return claimResponse{}, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: err}
 	}
 	current, err := x.deps.Store.Get(ctx, platform.KindDuty, r.Database)
 	var missing *platform.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
-		return 0, err
+		return claimResponse{}, err
 	}
-	if current.Version != 0 && r.Known != 0 {
-		if d, err := x.recordStored(r.Database, current); err != nil || d.Token > r.Known {
-			return 0, &platform.ConflictError{Kind: platform.KindDuty, Name: r.Database, Current: current}
+	var response claimResponse
+	if current.Version != 0 {
+		d, err := x.recordStored(r.Database, current)
+		if r.Known != 0 && (err != nil || d.Token > r.Known) {
+			return claimResponse{}, &platform.ConflictError{Kind: platform.KindDuty, Name: r.Database, Current: current}
+		}
+		if !d.CallsEnded && d.Token != r.Ended {
+			response.PendingServer = d.Server
 		}
 	}
 	o, err := platform.PutWithRetry(ctx, x.deps.Store, platform.KindDuty, r.Database, current.Version, value, platform.SameValue(value))
@@ -91,12 +99,13 @@
 		o, err = x.resolveConflict(r.Database, value, conflict)
 	}
 	if err != nil {
-		return 0, err
+		return claimResponse{}, err
 	}
 	if epoch := platform.EpochOf(o.Version); epoch != r.Duty.Epoch {
-		return 0, &OtherEpochError{Database: r.Database, Want: r.Duty.Epoch, Got: epoch}
+		return claimResponse{}, &OtherEpochError{Database: r.Database, Want: r.Duty.Epoch, Got: epoch}
 	}
-	return r.Duty.Designation(o.Version).Token, nil
+	response.Token = r.Duty.Designation(o.Version).Token
+	return response, nil
 }
 
 // recordStored records the designation in a stored record.
@@ -125,7 +134,7 @@
 
 // writeClaimThroughPeer has another VM write the claim. cause is the error of this VM's
 // own attempt.
-func (x *Executor) writeClaimThroughPeer(ctx context.Context, r claimRequest, cause error) (uint64, error) {
+func (x *Executor) writeClaimThroughPeer(ctx context.Context, r claimRequest, cause error) (claimResponse, error) {
 	err := cause
 	for _, vm := range x.claimWriters() {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -135,14 +144,14 @@
 		if callErr == nil && response.Token != 0 {
 			x.keepPeerList(response.Token, response.Listed)
 			x.deps.Log.Info("claim_written_by_peer", "database", r.Database, "vm", vm, "token", response.Token, "cause", cause)
-			return response.Token, nil
+			return response, nil
 		}
 		x.deps.Log.Warn("claim_not_written_by_peer", "database", r.Database, "vm", vm, "detail", response.Detail, "error", callErr)
 		if callErr != nil {
 			err = callErr
 		}
 	}
-	return 0, err
+	return claimResponse{}, err
 }
 
 // keepPeerList keeps the list of VMs for the acknowledgement of a claim. Claims that were
@@ -189,12 +198,11 @@
 	if r.Duty.Holder != from {
 		return nil, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: errors.New("not a claim of VM " + from)}
 	}
-	token, err := x.writeClaim(ctx, r)
-	response := claimResponse{Token: token}
+	response, err := x.writeClaim(ctx, r)
 	if err != nil {
 		response.Detail = err.Error()
 	} else {
-		x.deps.Primacy.Record(r.Database, r.Duty.WithToken(token))
+		x.deps.Primacy.Record(r.Database, r.Duty.WithToken(response.Token))
 		response.Listed, _ = x.deps.Primacy.ReadList() // its error is logged; without a list, the promotion waits longer
 	}
 	return msgpack.Marshal(&response)
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -132,6 +132,8 @@
 		x.runAsync("step_down", func() reducer.Event { return x.stepDown(ctx, e) })
 	case promotion.Promote:
 		x.runAsync("promote", func() reducer.Event { return x.promote(ctx, e) })
+	case promotion.RecordCallsEnded:
+		x.runAsync("record_calls_ended", func() reducer.Event { return x.recordCallsEnded(ctx, e) })
 	case promotion.AnnouncePrimary:
 		x.runAsync("announce", func() reducer.Event { return control.PrimaryFound{Database: e.Database, Server: e.Server} })
 	case promotion.Log:
--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -256,6 +256,46 @@
 	g.Expect(e.SafeAt).To(BeZero(), "the call need not wait for the next tick")
 }
 
+// The store says whether calls of the last designation may still take effect.
+func TestClaimReportsPendingCallsOfLastDesignation(t *testing.T) {
+	g := NewWithT(t)
+	store := newStore(t)
+	a, b := newVM("a", store), newVM("b", store)
+	first := a.claim(g)
+	g.Expect(first.PendingServer).To(BeEmpty())
+	second := b.claim(g)
+	g.Expect(second.PendingServer).To(Equal("s1"))
+	record := promotion.RecordCallsEnded{Database: "orders", Designation: b.primacy.Ledger().Designation("orders")}
+	g.Expect(b.executor.Execute(context.Background(), record, nil)).To(BeTrue())
+	g.Expect(<-b.results).To(Equal(promotion.CallsEndRecorded{Database: "orders", Token: second.Token}))
+	third := b.claim(g)
+	g.Expect(third.PendingServer).To(BeEmpty())
+	g.Expect(third.Token).To(BeNumerically(">", second.Token))
+
+	g.Expect(b.executor.Execute(context.Background(), record, nil)).To(BeTrue())
+	<-b.results
+	g.Expect(b.primacy.Ledger().Designation("orders").Token).To(Equal(third.Token), "a late record changes nothing")
+	g.Expect(b.primacy.Ledger().Designation("orders").CallsEnded).To(BeFalse())
+	g.Expect(b.executor.Execute(context.Background(), promotion.ClaimDuty{Database: "orders", Server: "s1", EndedToken: third.Token}, nil)).To(BeTrue())
+	g.Expect(<-b.results).To(HaveField("PendingServer", BeEmpty()), "this VM knows that they have ended")
+}
+
+// All VMs learn that the calls have ended, although the token stays the same.
+func TestEndOfCallsReachesOtherVMs(t *testing.T) {
+	g := NewWithT(t)
+	store := newStore(t)
+	a, b := newVM("a", store), newVM("b", store)
+	a.claim(g)
+	g.Expect(b.primacy.Permit(context.Background(), "orders", "s1")).To(Succeed())
+	g.Expect(a.executor.Execute(context.Background(), promotion.RecordCallsEnded{Database: "orders", Designation: a.primacy.Ledger().Designation("orders")}, nil)).To(BeTrue())
+	<-a.results
+	g.Eventually(func() bool {
+		_ = b.primacy.Permit(context.Background(), "orders", "s1") // refreshes expired evidence
+		return b.primacy.Ledger().Designation("orders").CallsEnded
+	}, "10s", "50ms").Should(BeTrue())
+	g.Expect(b.primacy.Ledger().Designation("orders").Same(a.primacy.Ledger().Designation("orders"))).To(BeTrue())
+}
+
 // A VM that joined on this side of a cut does not make up a majority: VMs on the other side
 // do not know it.
 func TestWaitForAcknowledgementsAfterVMJoined(t *testing.T) {
--- a/internal/promotion/run/revoke.go
+++ b/internal/promotion/run/revoke.go
@@ -244,16 +244,20 @@
 func (x *Executor) promote(ctx context.Context, e promotion.Promote) reducer.Event {
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
+	result := promotion.PromoteResult{Call: e.Call}
 	for {
 		err := x.promoteOnce(ctx, e.Call)
+		result.Err = err
 		var refused *promotion.RefusedError
 		var superseded *promotion.SupersededError
+		var unanswered *promotion.UnansweredError
 		if err == nil || errors.As(err, &refused) || errors.As(err, &superseded) {
-			return promotion.PromoteResult{Call: e.Call, Err: err}
+			return result
 		}
+		result.Unanswered = result.Unanswered || errors.As(err, &unanswered)
 		select {
 		case <-ctx.Done():
-			return promotion.PromoteResult{Call: e.Call, Err: err}
+			return result
 		case <-time.After(promoteRetryDelay):
 		}
 	}
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -95,6 +95,8 @@
 	fenceTokens       map[string]uint64
 	promotions        []Promotion
 	unfenced          bool // stale fencing tokens are accepted
+	latePromotions    int  // remaining promotion calls that are executed late
+	latePromotionBy   time.Duration
 }
 
 // New starts a store that listens on a loopback port.
@@ -181,6 +183,14 @@
 	s.responsesToDrop = n
 }
 
+// ExecutePromotionsLate makes the next n promotion calls get no response. They are executed
+// after a delay.
+func (s *Store) ExecutePromotionsLate(n int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latePromotions, s.latePromotionBy = n, delay
+}
+
 // Compact discards the history: watches from an older revision get status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -458,24 +468,39 @@
 		return
 	}
 	s.mu.Lock()
-	stale := token < s.fenceTokens[body.Service]
+	late := s.latePromotions > 0
+	if late {
+		s.latePromotions--
+		time.AfterFunc(s.latePromotionBy, func() { s.promote(body.Service, body.ID, r.Header.Get("X-Egretroad-Duty-Holder"), token) })
+	}
+	s.mu.Unlock()
+	if late {
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
+	if !s.promote(body.Service, body.ID, r.Header.Get("X-Egretroad-Duty-Holder"), token) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{})
+}
+
+// promote performs a promotion and reports whether it was accepted.
+func (s *Store) promote(service, server, holder string, token uint64) bool {
+	s.mu.Lock()
+	stale := token < s.fenceTokens[service]
 	refused := stale && !s.unfenced
-	s.fenceTokens[body.Service] = max(token, s.fenceTokens[body.Service])
+	s.fenceTokens[service] = max(token, s.fenceTokens[service])
 	promote := s.Promote
 	s.mu.Unlock()
 	if !refused && promote != nil {
-		refused = !promote(body.Service, body.ID)
+		refused = !promote(service, server)
 	}
 	s.mu.Lock()
 	s.promotions = append(s.promotions, Promotion{
-		Service: body.Service, Server: body.ID, Holder: r.Header.Get("X-Egretroad-Duty-Holder"), Token: token, Refused: refused, Stale: stale,
+		Service: service, Server: server, Holder: holder, Token: token, Refused: refused, Stale: stale,
 	})
 	s.mu.Unlock()
-	if refused {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	writeJSON(w, http.StatusOK, map[string]any{})
+	return !refused
 }
 
 func writeRaw(w http.ResponseWriter, status int, body []byte) {
--- a/internal/topology/designation.go
+++ b/internal/topology/designation.go
@@ -11,6 +11,14 @@
 	// have received beyond it.
 	Term     uint64 `msgpack:"n,omitempty"`
 	Received Mark   `msgpack:"l"`
+	// CallsEnded is set once no call to the platform for this promotion can take effect any
+	// more: each has been answered or has passed its time limit.
+	CallsEnded bool `msgpack:"e,omitempty"`
+}
+
+// Same reports whether both designations record the same choice.
+func (d Designation) Same(o Designation) bool {
+	return d.Server == o.Server && d.Holder == o.Holder && d.Token == o.Token
 }
 
 // Discards reports whether the promotion that the designation records has rolled back a part
@@ -24,7 +32,11 @@
 
 // Supersedes reports whether the designation is newer than another one of its group. Two
 // claims of one group share a token only if one of them was lost with the store's data and
-// its revision was given out again; all VMs then prefer the same one.
+// its revision was given out again; all VMs then prefer the same one. A designation whose
+// calls have ended supersedes itself without this mark.
 func (d Designation) Supersedes(o Designation) bool {
+	if d.Same(o) {
+		return d.CallsEnded && !o.CallsEnded
+	}
 	return d.Token > o.Token || d.Token == o.Token && d.Holder > o.Holder
 }
