Read the list of VMs every 1.5 s, so that its changes matter for 14 s

Users saw: a primary that failed 17 s after the start of the fleet, with a third of the VMs silent, was replaced 4 s later than before: with a list that may be 8 s older than the designations, a promotion waits for 11 s longer during the first 19 s of a fleet.

Change: the list is read when it is 1.5 s old; its age bound is 3 s again, and the window 14 s. Lists that control reads on the same VM still count.

Open: the wait itself during the first 14 s of a fleet. A VM that knew since when the silent ones have been running would not need it.

--- a/internal/primacy/doc.go
+++ b/internal/primacy/doc.go
@@ -43,7 +43,7 @@
 	MinorityWait = 10 * time.Second
 	// ListMaxAge is how much older than the designations the list of VMs may be from which
 	// partial evidence is counted.
-	ListMaxAge = 8 * time.Second
+	ListMaxAge = 3 * time.Second
 	// ListWindow is the age that a list of VMs may have while evidence that was counted from
 	// it is valid. It exceeds the sum of the above by the drift of the clocks.
 	ListWindow = MinorityWait + ListMaxAge + time.Second
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -44,9 +44,9 @@
 	storeTimeout = 400 * time.Millisecond
 	// storeHeadStart is how long the store may take before all VMs are asked as well.
 	storeHeadStart = 100 * time.Millisecond
-	// listInterval is the age of the list of VMs from which on it is read again. Control reads
-	// it more often on VMs that watch the store.
-	listInterval = 6 * time.Second
+	// listInterval is the age of the list of VMs from which on it is read again. The list has
+	// to reach all VMs before it is primacy.ListMaxAge old.
+	listInterval = 1500 * time.Millisecond
 	// statementTimeout bounds the requests to all VMs.
 	statementTimeout = 200 * time.Millisecond
 	// permitTimeout bounds the wait for recent evidence before a primary is used.
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -338,14 +338,23 @@
 	return "", &PortError{Addr: ip, Cause: err}
 }
 
-// reservedPorts holds the ports that freePort has returned in this process. A port
-// returned twice would fail only later, when the second proxy starts to listen.
-var reservedPorts sync.Map // port -> struct{}
+// reservationIP is the loopback address on which the ports are reserved that freePort has
+// returned. Nothing else listens there.
+const reservationIP = "127.255.255.253"
 
-// reservePort reserves a port and reports whether it was unreserved before.
+// reservations keeps the listeners that reserve ports open until the process ends.
+var reservations sync.Map // port -> net.Listener
+
+// reservePort reserves a port among all test processes of the machine and reports whether
+// it was unreserved before. A port returned twice would fail only later, when the second
+// proxy starts to listen.
 func reservePort(port int) bool {
-	_, reserved := reservedPorts.LoadOrStore(port, struct{}{})
-	return !reserved
+	l, err := net.Listen("tcp", net.JoinHostPort(reservationIP, strconv.Itoa(port)))
+	if err != nil {
+		return false
+	}
+	reservations.Store(port, l)
+	return true
 }
 
 // Databases returns the database names in the order of the plan.
