Let restarted VMs count towards the majority of a promotion

Callers would see: after a restart of the whole fleet, with one VM lost for good, a failed primary is replaced 11 s later than before, which is close to the 12 s within which a restarted fleet has to serve again.

Cause: after a restart no VM knows since when the others have been listed, so none counted.

Change: a VM learns at its registration whether its entry was there before, and says so with its acknowledgement. Such VMs count as listed throughout unless another one knows better. A registration that was tried before counts as new, since the failed attempt may have created the entry, and so does one after the list lacked the VM.

Open: the first 14 s of a fleet whose entries are new.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,8 @@
 
 // Registrar publishes a VM's entry so that other VMs can discover it.
 type Registrar interface {
-	RegisterVM(ctx context.Context, vm topology.VM) error
+	// RegisterVM creates or updates the entry and reports whether there was one.
+	RegisterVM(ctx context.Context, vm topology.VM) (existed bool, err error)
 }
 
 // Adapters connect the process to the platform: store, backend servers and callers.
@@ -200,12 +201,14 @@
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval, retryBackoff.MaxInterval = registerRetryInitial, registerRetryMax
 	retryBackoff.Multiplier, retryBackoff.RandomizationFactor = 2, 0
-	for {
+	for attempt := 1; ; attempt++ {
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
-		err := n.adapters.Registrar.RegisterVM(ctx, n.settings.Self)
+		existed, err := n.adapters.Registrar.RegisterVM(ctx, n.settings.Self)
 		cancel()
 		if err == nil {
-			n.components.Log.Info("vm_registered", "peer_addr", n.settings.Self.PeerAddr)
+			// A failed attempt may have created the entry.
+			n.components.Primacy.Ledger().RecordRegistration(existed && attempt == 1, clock.Boottime())
+			n.components.Log.Info("vm_registered", "peer_addr", n.settings.Self.PeerAddr, "existed", existed, "attempts", attempt)
 			return
 		}
 		delay := retryBackoff.NextBackOff()
@@ -386,8 +389,13 @@
 	}
 	deps := control.Deps{
 		Self: s.Self, Store: refresher.ObserveLists(a.Store), Peers: n, Registrar: n, Publisher: p,
-		RegisterSelf: func(ctx context.Context) error { return a.Registrar.RegisterVM(ctx, s.Self) },
-		Log:          log.Named("control"), Metrics: m,
+		RegisterSelf: func(ctx context.Context) error {
+			_, err := a.Registrar.RegisterVM(ctx, s.Self)
+			// The list lacked this VM, so it joins anew.
+			refresher.Ledger().RecordRegistration(false, clock.Boottime())
+			return err
+		},
+		Log: log.Named("control"), Metrics: m,
 	}
 	if a.Promoter != nil {
 		deps.Machines = []reducer.Machine{promotion.New(promotion.DefaultOptions(), s.Self.ID)}
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -19,7 +19,8 @@
 type fuzzVM struct {
 	ledger    *primacy.Ledger
 	announced map[string]bool
-	left      bool // removed from the list by the operator
+	left      bool          // removed from the list by the operator
+	joinedAt  time.Duration // 0: listed from the beginning
 	noStore   bool
 	partition int // VMs reach each other within a partition
 	attempt   *fuzzAttempt
@@ -92,6 +93,7 @@
 	for i := range vms {
 		id := fmt.Sprint("vm", i)
 		w.add(id)
+		w.vms[id].ledger.RecordRegistration(true, w.now)
 	}
 	return w
 }
@@ -105,6 +107,8 @@
 func (w *world) register(id string) {
 	if !w.vms[id].noStore && !slices.Contains(w.listed, id) && !w.vms[id].left {
 		w.listed = append(slices.Clone(w.listed), id)
+		w.vms[id].joinedAt = w.now
+		w.vms[id].ledger.RecordRegistration(false, w.now)
 	}
 }
 
@@ -120,10 +124,11 @@
 	return true
 }
 
-// restart makes a VM forget everything. If nobody else would know that a VM has left the
-// list lately, nothing happens.
+// restart makes a VM forget everything. Nothing happens if nobody else would know that a VM
+// has left the list lately, or if the VM has joined lately: it would not know it any more.
 func (w *world) restart(id string) {
-	if w.settled != w.epoch || !w.leaversKnownWithout(id) {
+	joined := w.vms[id].joinedAt
+	if w.settled != w.epoch || !w.leaversKnownWithout(id) || joined != 0 && w.now-joined <= primacy.ListWindow {
 		return
 	}
 	for other, l := range w.leavers {
@@ -132,6 +137,7 @@
 	}
 	vm := w.vms[id]
 	vm.ledger, vm.attempt = primacy.NewLedger(id, w.now), nil
+	vm.ledger.RecordRegistration(true, w.now)
 }
 
 // join adds a VM on the side of a listed one, to which it announces itself. It serves once
@@ -143,6 +149,8 @@
 	id := fmt.Sprint("vm", len(w.ids))
 	w.add(id)
 	w.vms[id].partition = w.vms[through].partition
+	w.vms[id].joinedAt = w.now
+	w.vms[id].ledger.RecordRegistration(false, w.now)
 	w.vms[through].announced[id] = true
 	w.readStore(id)
 }
@@ -310,7 +318,7 @@
 		}
 		a.acks = append(a.acks, primacy.Acknowledgement{VM: other, At: w.now})
 		if a.listRead {
-			a.members.Include(w.vms[other].ledger.ListHistory(w.now, vm.ledger.Known().List))
+			a.members.Include(other, w.vms[other].ledger.ListHistory(w.now, vm.ledger.Known().List))
 		}
 	}
 	switch {
--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -184,6 +184,17 @@
 	l.list.merge(ids, asOf)
 }
 
+// RecordRegistration records that the list of VMs has an entry of this VM. existed is set if
+// it was there before the start: this VM was listed then.
+func (l *Ledger) RecordRegistration(existed bool, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list.registered, l.list.joinedAt = true, now
+	if existed {
+		l.list.joinedAt = 0
+	}
+}
+
 // Listed returns the known list of VMs; none if there has been no list. Callers must not
 // modify it.
 func (l *Ledger) Listed() []string {
@@ -219,7 +230,7 @@
 // that was read after the designation was recorded, empty if it could not be read;
 // announced are VMs that have announced themselves.
 func (l *Ledger) Members(fresh, announced []string, now time.Duration) Members {
-	m := Members{Changed: map[string]bool{}}
+	m := Members{Changed: map[string]bool{}, Stayed: map[string]bool{}}
 	if len(fresh) == 0 {
 		return m
 	}
@@ -229,7 +240,7 @@
 			m.Listed, m.Changed[id] = append(m.Listed, id), true
 		}
 	}
-	m.Include(l.ListHistory(now, 0))
+	m.Include(l.self, l.ListHistory(now, 0))
 	return m
 }
 
--- a/internal/primacy/primacy_test.go
+++ b/internal/primacy/primacy_test.go
@@ -147,6 +147,15 @@
 		"changes unknown": {
 			primacy.Members{Listed: []string{"a", "b", "c"}}, set("a", "b"), long,
 		},
+		"changes unknown, those that acknowledged have stayed": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Stayed: set("a", "b")}, set("a", "b"), primacy.RevocationWait,
+		},
+		"changes unknown, one that acknowledged may have joined": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Stayed: set("a")}, set("a", "b"), long,
+		},
+		"has stayed by its own knowledge, but joined by that of another": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Changed: set("b"), Stayed: set("a", "b")}, set("a", "b"), long,
+		},
 		"all acknowledged": {
 			primacy.Members{Listed: []string{"a", "x"}, Changed: set("x")}, set("a", "x"), 0,
 		},
@@ -176,11 +185,26 @@
 	m := l.Members([]string{"a", "d"}, []string{"a", "e"}, at(primacy.ListWindow))
 	g.Expect(m.Listed).To(Equal([]string{"a", "d", "e"}))
 	g.Expect(m.Changed).To(Equal(map[string]bool{"b": true, "c": true, "d": true, "e": true}))
-	m.Include(primacy.ListHistory{Listed: []string{"f"}})
+	m.Include("b", primacy.ListHistory{Listed: []string{"f"}})
 	g.Expect(m.Changed).To(And(HaveKey("a"), HaveKey("f")), "the list of another VM differs")
 	g.Expect(l.Members(nil, []string{"a"}, at(primacy.ListWindow)).Listed).To(BeEmpty())
 }
 
+// After a restart a VM has no history of the list, but its own entry was there before.
+func TestRestartedVMKnowsThatItHasStayed(t *testing.T) {
+	g := NewWithT(t)
+	l := primacy.NewLedger("a", time.Hour)
+	g.Expect(l.ListHistory(time.Hour, 0).Stayed).To(BeFalse())
+	l.RecordRegistration(true, time.Hour)
+	g.Expect(l.ListHistory(time.Hour, 0).Stayed).To(BeTrue())
+	l.RecordRegistration(false, time.Hour) // the store lost the entry
+	g.Expect(l.ListHistory(time.Hour+primacy.ListWindow, 0).Stayed).To(BeFalse())
+	g.Expect(l.ListHistory(time.Hour+primacy.ListWindow+1, 0).Stayed).To(BeTrue())
+	m := l.Members([]string{"a", "b", "c"}, nil, time.Hour+primacy.ListWindow+1)
+	m.Include("b", primacy.ListHistory{Stayed: true})
+	g.Expect(primacy.PromotionWait(m, map[string]bool{"a": true, "b": true})).To(Equal(primacy.RevocationWait))
+}
+
 // The list travels with the evidence, once.
 func TestListOfVMsIsPassedOnWithItsAge(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -43,11 +43,16 @@
 	Changed map[string]bool // VMs that joined or left the list within ListWindow
 	// Known is set if Changed has all such VMs.
 	Known bool
+	// Stayed are VMs that know of themselves that they have not joined within ListWindow.
+	Stayed map[string]bool
 }
 
-// Include adds a VM's knowledge of the list and its changes. Where its list differs, VMs
-// have joined or left since it knew it.
-func (m *Members) Include(h ListHistory) {
+// Include adds a VM's knowledge of the list, its changes and itself. Where its list differs,
+// VMs have joined or left since it knew it.
+func (m *Members) Include(vm string, h ListHistory) {
+	if h.Stayed {
+		m.Stayed[vm] = true
+	}
 	if len(h.Listed) > 0 {
 		m.includeDifferences(h.Listed)
 	}
@@ -96,8 +101,8 @@
 // PromotionWait returns how long a promotion must wait after the VMs in acked have
 // acknowledged its designation. Partial evidence comes from at least half of the VMs of a
 // list that may be as old as ListWindow. RevocationWait is enough if every such set of VMs
-// has one that acknowledged: VMs that joined meanwhile do not count as such, and VMs that
-// left count as silent.
+// has one that acknowledged: VMs that may have joined meanwhile do not count as such, and
+// VMs that left count as silent.
 func PromotionWait(m Members, acked map[string]bool) time.Duration {
 	if len(m.Listed) == 0 {
 		return RevocationWait + MinorityWait
@@ -107,7 +112,7 @@
 		switch {
 		case !acked[id]:
 			silent++
-		case !m.Changed[id]:
+		case !m.Changed[id] && (m.Known || m.Stayed[id]):
 			stayed++
 		}
 	}
@@ -115,7 +120,7 @@
 	switch {
 	case silent+left == 0:
 		return 0
-	case m.Known && stayed > silent+left:
+	case stayed > silent+left:
 		return RevocationWait
 	default:
 		return RevocationWait + MinorityWait
--- a/internal/primacy/vmlist.go
+++ b/internal/primacy/vmlist.go
@@ -16,6 +16,10 @@
 	asOf    time.Duration
 	since   time.Duration            // asOf of the first list
 	changed map[string]time.Duration // VMs that joined or left, and when this is known to have happened
+	// registered is set once this VM's entry is in the list; joinedAt is when it was created,
+	// 0: before the start.
+	registered bool
+	joinedAt   time.Duration
 }
 
 // merge takes a list over unless it is older than the known one.
@@ -65,6 +69,7 @@
 	Listed   []string `msgpack:"l,omitempty"` // none if the requester knows the same list
 	Changed  []string `msgpack:"c,omitempty"` // VMs that joined or left within ListWindow
 	Complete bool     `msgpack:"k,omitempty"` // the VM has known the list during all of ListWindow
+	Stayed   bool     `msgpack:"s,omitempty"` // the VM itself has been listed during all of ListWindow
 }
 
 // history returns the changes as of now, for a requester that knows the list with the given
@@ -79,6 +84,7 @@
 			h.Changed = append(h.Changed, id)
 		}
 	}
+	h.Stayed = l.registered && (l.joinedAt == 0 || now-l.joinedAt > ListWindow)
 	h.Complete = l.digest != 0 && now-l.since >= ListWindow && now-l.asOf <= ListMaxAge
 	return h
 }
--- a/internal/promotion/run/revoke.go
+++ b/internal/promotion/run/revoke.go
@@ -60,14 +60,14 @@
 	received  []primacy.Acknowledgement
 	connected []string // VMs among them that are connected to the old primary
 	members   primacy.Members
-	histories []primacy.ListHistory
+	histories map[string]primacy.ListHistory // by VM
 }
 
 func (a *acknowledgements) add(vm string, r acknowledgeResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.received = append(a.received, primacy.Acknowledgement{VM: vm, At: clock.Boottime()})
-	a.histories = append(a.histories, r.History)
+	a.histories[vm] = r.History
 	if r.Connected {
 		a.connected = append(a.connected, vm)
 	}
@@ -97,8 +97,8 @@
 	ctx, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
 	defer cancel()
 	announced := x.deps.Source.Snapshot().Listed
-	acks := &acknowledgements{asked: map[string]bool{x.deps.Self: true}}
-	acks.add(x.deps.Self, acknowledgeResponse{Connected: true})
+	acks := &acknowledgements{asked: map[string]bool{x.deps.Self: true}, histories: map[string]primacy.ListHistory{}}
+	acks.add(x.deps.Self, acknowledgeResponse{Connected: true, History: x.deps.Primacy.Ledger().ListHistory(clock.Boottime(), 0)})
 	var calls sync.WaitGroup
 	ask := func(vms []string) {
 		for _, vm := range acks.notAsked(vms) {
@@ -115,8 +115,8 @@
 		ask(members.Listed)
 	})
 	calls.Wait()
-	for _, h := range acks.histories {
-		acks.members.Include(h)
+	for vm, h := range acks.histories {
+		acks.members.Include(vm, h)
 	}
 	return acks
 }
