Go on accepting callers after a failed accept

Callers would see: no new connection to a VM that stays ready.

Cause: the session engine ended its listener at the first error of accept, for example when the process has run out of file descriptors.

Change: only a closed listener ends the loop; after other errors it pauses for 20 ms and logs.

Evidence: TestCallersAreAcceptedAfterFailedAccept timed out before (one accept) and passes now.

--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -112,16 +113,25 @@
 	return e
 }
 
-// Serve accepts callers until the listener fails or is closed, and returns its error.
+// acceptRetryDelay is the pause after a failed accept, which happens for example when the
+// process runs out of file descriptors.
+const acceptRetryDelay = 20 * time.Millisecond
+
+// Serve accepts callers until the listener is closed, and returns its error.
 func (e *Engine) Serve(listener net.Listener) error {
 	closed := make(chan struct{})
 	defer close(closed)
 	go e.pruneServers(closed)
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			e.log.Warn("accept_failed", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		s := &session{engine: e, id: e.lastSessionID.Add(1), conn: e.newConn(conn)}
 		if !e.register(s) {
 			e.log.Warn("session_refused", "session", s.id, "limit", e.options.MaxSessions)
