Do not hold up a VM's servers while one of them is closed

Callers would see: statements on all databases of a VM wait while one server is dropped or restarts with a transaction's statement still running there, for up to the statement's time limit; and for 0.5 s for each expired transaction at a server that does not respond.

Cause: the manager closed servers and rolled expired transactions back while it held the lock of its list of servers, and both wait for the statement in progress.

Change: connections that run a statement are closed in the background when it has ended, and expired transactions are rolled back in the background.

Evidence: TestRemovedServerWithRunningStatementBlocksNoOtherServer (the other server's read came 5.0 s later, after the statement of the removed one) and TestExpiredTransactionsOfSilentServerBlockNoOtherServer (after the rollback's delay of 10 s) failed before. The package with the race detector passes.

--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -89,7 +89,7 @@
 	s.gate.Unlock()
 	for _, id := range expired {
 		s.log.Info("transaction_expired", "lane", id.Number, "vm", id.VM)
-		s.releaseLane(id)
+		go s.releaseLane(id) // waits for the response to the rollback
 	}
 	s.pool.maintain()
 	if s.view.Load().home {
@@ -99,6 +99,8 @@
 	return unused
 }
 
+// close refuses further work and closes all connections: at once those that run no
+// statement, the others in the background when their statement has ended.
 func (s *server) close() {
 	s.cancel()
 	s.gate.Stop()
@@ -107,7 +109,7 @@
 	s.lanes = map[LaneID]*lane{}
 	s.gate.Unlock()
 	for _, l := range lanes {
-		l.closeConn()
+		go l.closeConn()
 	}
 	s.pool.close()
 	s.admin.close()
