Keep a session's commit positions by group

Callers would see: reads of the session's own writes refused as lagging for as long as the session lasts, after a change has moved the route to another group of servers.

Cause: a session kept one position and compared it with positions in the log of another group.

Change: positions are kept by group, since a route may move back.

Evidence: TestCommitBeforeRouteMovedToOtherGroupDoesNotBlockReads; with one position for all groups (mutation, the old behaviour) the read requires position 9.5000 of the other group's log.

--- a/internal/session/run.go
+++ b/internal/session/run.go
@@ -44,19 +44,20 @@
 	result := x.run()
 	reply := x.reply(result)
 	if st.Writes && reply.OK() {
-		s.mark = laterMark(s.mark, result.Reply.Mark)
+		s.record(result.Reply.Mark)
 	}
 	reply.State = statement.Idle
 	x.logStatement(result, reply)
 	return reply
 }
 
-// laterMark returns the greater of two marks.
-func laterMark(a, b topology.Mark) topology.Mark {
-	if a.Less(b) {
-		return b
+// record keeps the position of a commit for later reads of the session. Positions of
+// different groups are not comparable.
+func (s *session) record(commit topology.Mark) {
+	if s.marks == nil {
+		s.marks = map[string]topology.Mark{}
 	}
-	return a
+	s.marks[commit.Database] = topology.Max(s.marks[commit.Database], commit)
 }
 
 // runInTxn runs a statement of the open transaction.
@@ -83,7 +84,7 @@
 	switch {
 	case committed && reply.OK():
 		if t.wrote {
-			s.mark = laterMark(s.mark, result.Reply.Mark)
+			s.record(result.Reply.Mark)
 		}
 		s.txn, s.state = nil, statement.Idle
 	case committed:
@@ -291,7 +292,7 @@
 	if x.entry.Freshness == catalogue.FreshOwn {
 		// A mark of an earlier term may refer to a commit that a promotion rolled back.
 		// A required position of a later term covers everything retained of that term.
-		x.minPosition = laterMark(required, x.session.mark)
+		x.minPosition = topology.Max(required, x.session.marks[x.entry.GroupName()])
 	}
 	return nil
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -89,8 +89,8 @@
 	settings          []statement.Setting // sorted by name
 	settingsBytes     int                 // total size of names and values in settings
 	prepared          map[string]statement.Prepared
-	preparedBytes     int           // total size of names and texts in prepared
-	mark              topology.Mark // position of the session's latest commit
+	preparedBytes     int                      // total size of names and texts in prepared
+	marks             map[string]topology.Mark // positions of the session's latest commits, by group
 	txn               *txn
 	receivedStatement bool // at least one statement was read
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -268,7 +268,7 @@
 	f.handle("b", statement.Begin)
 	f.handle("w2", statement.Write)
 	f.handle("c", statement.Commit)
-	f.g.Expect(f.session.mark.Position).To(Equal(uint64(primaryMark + 1)))
+	f.g.Expect(f.session.marks["orders"].Position).To(Equal(uint64(primaryMark + 1)))
 }
 
 // A promotion may have rolled back the session's commit. A proven position of the new
@@ -276,11 +276,25 @@
 // mark.
 func TestMarkOfOldTermDoesNotBlockReads(t *testing.T) {
 	f := newFixture(t, "own")
-	f.session.mark = topology.Mark{Database: "orders", Term: 1, Position: 5000}
+	f.session.record(topology.Mark{Database: "orders", Term: 1, Position: 5000})
 	f.handle("r1", statement.Read)
 	f.g.Expect(f.broker.requests[0].MinPosition).To(Equal(topology.Mark{Database: "orders", Term: 2, Position: primaryMark}))
 }
 
+// A route was moved to the servers of another group. Reads waited for the position of the
+// session's commit in the log of the old group, which has nothing to do with the new one.
+func TestCommitBeforeRouteMovedToOtherGroupDoesNotBlockReads(t *testing.T) {
+	f := newFixture(t, "own")
+	committed := topology.Mark{Database: "stock", Term: 9, Position: 5000}
+	f.session.record(committed)
+	f.handle("r1", statement.Read)
+	f.g.Expect(f.broker.requests[0].MinPosition).To(Equal(topology.Mark{Database: "orders", Term: 2, Position: primaryMark}))
+	f.handle("w1", statement.Write)
+	f.handle("r2", statement.Read)
+	f.g.Expect(f.broker.requests[2].MinPosition).To(Equal(topology.Mark{Database: "orders", Term: 2, Position: primaryMark + 1}))
+	f.g.Expect(f.session.marks["stock"]).To(Equal(committed), "the route may move back")
+}
+
 func TestReadWithoutProvenPositionIsNotSent(t *testing.T) {
 	f := newFixture(t, "aged")
 	f.broker.provePosition = func(string) (broker.Proof, error) { return broker.Proof{}, &NoPrimaryError{Database: "orders"} }
