Leave the digest of designations as earlier builds compute it

Found by reading: with the mark of ended calls in the digest, a VM of an earlier build and one of this build would never agree, and each refresh of a VM whose source is of the other build (every 250 ms) would read the store. In a rolling upgrade of 88 VMs that is up to some 350 reads a second (computed, not run).

Change: the digest is computed without the mark, which has a digest of its own. An earlier build that does not send it gets the designations with each answer.

Evidence: TestMarkOfEndedCallsIsPassedOnWithoutChangingDigest; its first comparison fails with the mark in the digest. Builds side by side were not played.

--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -62,8 +62,9 @@
 
 // Known identifies what a VM knows, so that it is not sent again.
 type Known struct {
-	Designations uint64 `msgpack:"k"` // digest
-	List         uint64 `msgpack:"l"` // digest of the list of VMs
+	Designations uint64 // digest
+	Ended        uint64 // digest of the designations whose calls have ended
+	List         uint64 // digest of the list of VMs
 }
 
 // Ledger holds the designations that this VM knows and the time of its evidence. The
@@ -76,6 +77,7 @@
 	mu           sync.Mutex // guards the fields below
 	designations map[string]topology.Designation
 	digest       uint64 // XOR over the designations' hashes
+	ended        uint64 // the same over the marks that their calls have ended
 	epoch        uint64 // latest known epoch of the store
 	settled      uint64 // latest known epoch that is settled
 	hasFull      bool
@@ -99,6 +101,7 @@
 			continue
 		}
 		l.digest ^= hashDesignation(database, l.designations[database]) ^ hashDesignation(database, d)
+		l.ended ^= hashEnd(database, l.designations[database]) ^ hashEnd(database, d)
 		l.designations[database] = d
 		if added == nil {
 			added = map[string]topology.Designation{}
@@ -113,7 +116,16 @@
 	if d == (topology.Designation{}) {
 		return 0
 	}
-	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%d\x00%t", database, d.Server, d.Holder, d.Token, d.CallsEnded))
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%d", database, d.Server, d.Holder, d.Token))
+}
+
+// hashEnd returns the hash of the mark that the calls of a designation have ended; 0 if
+// there is none.
+func hashEnd(database string, d topology.Designation) uint64 {
+	if !d.CallsEnded {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d", database, d.Token))
 }
 
 // ConfirmFull records that every designation made before asOf has been merged.
@@ -174,7 +186,7 @@
 func (l *Ledger) Known() Known {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Known{Designations: l.digest, List: l.list.digest}
+	return Known{Designations: l.digest, Ended: l.ended, List: l.list.digest}
 }
 
 // ConfirmList records the list of VMs as of asOf. It must come from a settled epoch.
@@ -276,7 +288,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := Evidence{Digest: l.digest, Epoch: l.epoch, Settled: l.settled, HasFull: l.hasFull, Complete: l.isComplete(), FullAge: now - l.fullAt, PartialAge: now - l.partialAt}
-	if known.Designations != l.digest {
+	if known.Designations != l.digest || known.Ended != l.ended {
 		e.Designations = maps.Clone(l.designations)
 	}
 	if l.list.digest != 0 {
--- a/internal/primacy/primacy_test.go
+++ b/internal/primacy/primacy_test.go
@@ -205,6 +205,27 @@
 	g.Expect(primacy.PromotionWait(m, map[string]bool{"a": true, "b": true})).To(Equal(primacy.RevocationWait))
 }
 
+// A VM of an earlier build does not know the mark. If its digest differed for good, each of
+// its requests would lead to a read of the store.
+func TestMarkOfEndedCallsIsPassedOnWithoutChangingDigest(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newLedger(0), newLedger(0)
+	a.Merge(designate("s2", 5))
+	b.Adopt(a.Evidence(0, b.Known()), 0)
+	ended := designate("s2", 5)
+	d := ended["orders"]
+	d.CallsEnded = true
+	ended["orders"] = d
+	g.Expect(a.Merge(ended)).To(HaveLen(1))
+	g.Expect(a.Digest()).To(Equal(b.Digest()))
+	b.Adopt(a.Evidence(0, b.Known()), 0)
+	g.Expect(b.Designation("orders").CallsEnded).To(BeTrue())
+	g.Expect(a.Evidence(0, b.Known()).Designations).To(BeEmpty())
+	g.Expect(b.Merge(designate("s2", 5))).To(BeEmpty(), "the mark stays")
+	b.Merge(designate("s3", 6))
+	g.Expect(b.Known().Ended).To(BeZero())
+}
+
 // The list travels with the evidence, once.
 func TestListOfVMsIsPassedOnWithItsAge(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -102,6 +102,7 @@
 type request struct {
 	Hops   int           `msgpack:"h"` // VMs between the requester and the store so far
 	Known  uint64        `msgpack:"k"` // digest of the designations that the requester knows
+	Ended  uint64        `msgpack:"n"` // digest of the designations that it knows to have ended calls
 	List   uint64        `msgpack:"l"` // digest of the list of VMs that the requester knows
 	Epoch  uint64        `msgpack:"e"` // latest epoch of the store that the requester knows
 	MaxAge time.Duration `msgpack:"a"` // older evidence is refreshed first; 0: never
@@ -289,7 +290,7 @@
 	defer cancel()
 	var e primacy.Evidence
 	known := r.ledger.Known()
-	q.Known, q.List, q.Epoch = known.Designations, known.List, r.ledger.Epoch()
+	q.Known, q.Ended, q.List, q.Epoch = known.Designations, known.Ended, known.List, r.ledger.Epoch()
 	sentAt := clock.Boottime()
 	if err := peer.CallMsgpack(ctx, r.deps.Peers, vm, method.Designations, &q, &e); err != nil {
 		r.deps.Log.Debug("designations_not_received", "vm", vm, "error", err)
@@ -306,7 +307,7 @@
 		return nil, err
 	}
 	r.ledger.ConfirmEpoch(q.Epoch)
-	known := primacy.Known{Designations: q.Known, List: q.List}
+	known := primacy.Known{Designations: q.Known, Ended: q.Ended, List: q.List}
 	e := r.ledger.Evidence(clock.Boottime(), known)
 	if q.MaxAge > 0 && (!e.HasFull || e.PartialAge > q.MaxAge) {
 		r.refreshShared(ctx, min(max(q.Hops, 1), maxHops))
