Show that a server promoted without a designation is not used

Callers would see: no write succeeds after the platform has promoted a server that no VM has designated, through an operator's call or a call that takes effect later than any limit.

--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -190,6 +190,20 @@
 	f.expectNoneAcknowledgedAfterPromotion(writers())
 }
 
+// An operator, or a call later than any limit, makes the platform promote a server that no VM
+// has designated. The designated one has become its replica.
+func TestServerPromotedWithoutDesignationIsUsed(t *testing.T) {
+	f := newFleet(t)
+	replaced := f.group.Primary()
+	f.registerServer(zoneOf(replaced), "draining")
+	f.g.Eventually(f.group.Primary, "20s", "20ms").ShouldNot(Equal(replaced))
+	f.registerServers()
+	f.g.Expect(f.group.Promote(replaced)).To(BeTrue())
+	f.registerServers()
+	c := f.session(1, "shop")
+	f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "20s", "100ms").Should(BeEmpty())
+}
+
 func zoneOf(server string) string { return strings.TrimPrefix(server, "s-") }
 
 // Where the VM behind the cut is connected to the others, it makes the old primary step
