--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -359,8 +359,8 @@
 	}
 }
 
-// For any order of joins, leaves, cuts, outages of the store, returns from an older copy, restarts, delays
-// and promotions, no VM may use a server that another one has replaced. Restarts between a
+// For any order of joins, leaves, cuts, outages of the store, returns from an older copy,
+// restarts, delays and promotions, no VM may use a server that another one has replaced. Restarts between a
 // return and the settlement of its epoch are left out: if every VM that acknowledged a
 // designation restarts there, nobody knows it.
 func TestAtMostOneServerIsUsable(t *testing.T) {
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -87,7 +87,7 @@
 	lapsed       bool       // the evidence had expired at the last refresh
 	unsettled    storeState // the last read of an epoch that is not settled
 	listReading  bool       // a read of the list of VMs is in flight
-	list         listRead   // the last list of VMs, if it has not been confirmed yet
+	list         listRead   // the last list of VMs that was read
 }
 
 // listRead is the result of a read of the list of VMs.
--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -65,8 +65,8 @@
 	designation topology.Designation
 	lastPrimary string        // last known primary
 	changedAt   time.Duration // when the primary or the designation changed last
-	leadsSince  time.Duration // since when the designated server has been registered as primary; 0: it is not
-	callsEnded  bool          // the designated server has been registered for long enough for its calls to have ended
+	leadsSince  time.Duration // since when the designated server has been the known primary; 0: it is not
+	callsEnded  bool          // it has been for so long that its calls have ended
 }
 
 // replacedPrimary is a primary that has been replaced and may not know it yet.
