--- a/internal/promotion/run/claim.go
+++ b/internal/promotion/run/claim.go
@@ -68,9 +68,9 @@
 	return promotion.ClaimResult{Database: e.Database, Token: written.Token, PendingServer: written.PendingServer}
 }
 
-// writeClaim writes a claim to the store and returns its token, without a list of VMs. A claim that the store has
-// executed in another epoch than that for which it was made counts as not written: it may
-// have replaced any record.
+// writeClaim writes a claim to the store and returns its token, without a list of VMs. A
+// claim that the store has executed in another epoch than that for which it was made counts
+// as not written: it may have replaced any record.
 func (x *Executor) writeClaim(ctx context.Context, r claimRequest) (claimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -280,6 +280,23 @@
 	g.Expect(<-b.results).To(HaveField("PendingServer", BeEmpty()), "this VM knows that they have ended")
 }
 
+// The second claim makes no call, for example because its response is lost. Calls for the
+// server of the first one may still take effect when the third one is made.
+func TestClaimReportsPendingCallsOfDesignationBeforeLast(t *testing.T) {
+	g := NewWithT(t)
+	x := newVM("a", newStore(t))
+	claim := func(server string) promotion.ClaimResult {
+		g.Expect(x.executor.Execute(context.Background(), promotion.ClaimDuty{Database: "orders", Server: server}, nil)).To(BeTrue())
+		e, ok := (<-x.results).(promotion.ClaimResult)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(e.Err).NotTo(HaveOccurred())
+		return e
+	}
+	claim("s1")
+	g.Expect(claim("s2").PendingServer).To(Equal("s1"))
+	g.Expect(claim("s2").PendingServer).To(Equal("s1"), "s2 alone would need no wait")
+}
+
 // All VMs learn that the calls have ended, although the token stays the same.
 func TestEndOfCallsReachesOtherVMs(t *testing.T) {
 	g := NewWithT(t)
