Report a rollback between two statements as aborted

Callers saw: after a transaction was rolled back because it was idle, or because the VM stops, the next statement got MALFORMED unless it was COMMIT. The caller had last been told that it is in a transaction. MALFORMED is for a request that it sends although it knows of the failure; ABORTED is the promise that nothing was kept, on which it may retry.

Change: the session remembers that a rollback has not been reported. The first statement after it gets ABORTED with the failed state, further ones MALFORMED. The log event tells idle transactions (transaction_idle, with the limit that applied; it said 0 for routes without one) from stopped ones (transaction_stopped).

Evidence: TestCallerLearnsOfRollbackBetweenItsStatements; on the code before, its cases read, write, set, prepare, execute and deallocate fail with code 12 (malformed) instead of 2 (aborted). Commit passed before.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -93,6 +93,9 @@
 	marks             map[string]topology.Mark // positions of the session's latest commits, by group
 	txn               *txn
 	receivedStatement bool // at least one statement was read
+	// abortUnreported is set while the caller does not know that its transaction has failed:
+	// the session rolled it back between two statements.
+	abortUnreported bool
 
 	mu            sync.Mutex // guards the fields below
 	idle          bool       // waiting for the next statement outside a transaction
@@ -162,11 +165,7 @@
 // the session.
 func (s *session) prepareRead() bool {
 	if s.txn != nil {
-		limit := s.txn.entry.IdleInTxn.Duration()
-		if limit <= 0 {
-			limit = s.engine.options.IdleInTxn
-		}
-		err := s.conn.SetReadDeadline(time.Now().Add(limit))
+		err := s.conn.SetReadDeadline(time.Now().Add(s.idleLimit()))
 		if s.engine.transactionsEnded.Load() && !s.conn.Buffered() {
 			err = s.conn.SetReadDeadline(time.Now())
 		}
@@ -188,6 +187,14 @@
 	return s.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// idleLimit returns how long the open transaction may wait for its caller.
+func (s *session) idleLimit() time.Duration {
+	if limit := s.txn.entry.IdleInTxn.Duration(); limit > 0 {
+		return limit
+	}
+	return s.engine.options.IdleInTxn
+}
+
 // firstStatementTimeout is how long a draining engine waits for the first statement
 // of a session: several times the round trip to a caller.
 const firstStatementTimeout = 300 * time.Millisecond
@@ -230,9 +237,7 @@
 		return s.conn.Reply(s.failure(invalid.Code, invalid.Detail)) == nil
 	}
 	if timeout, ok := err.(interface{ Timeout() bool }); ok && timeout.Timeout() && s.txn != nil {
-		s.engine.log.Info("transaction_idle", "session", s.id, "database", s.database, "limit", s.txn.entry.IdleInTxn.Duration())
-		s.rollBack()
-		s.state = statement.Failed
+		s.abort()
 		return s.conn.SetReadDeadline(time.Time{}) == nil
 	}
 	s.sendFatalError(err)
@@ -258,6 +263,9 @@
 
 // handle processes one statement and returns its reply.
 func (s *session) handle(st statement.Statement, arrived time.Duration) statement.Reply {
+	if s.state == statement.Failed && st.Verb != statement.Rollback {
+		return s.handleFailed(st)
+	}
 	switch st.Verb {
 	case statement.Begin, statement.BeginRead:
 		return s.handleBegin(st, arrived)
@@ -266,9 +274,6 @@
 	case statement.Set, statement.Prepare, statement.Deallocate:
 		return s.handleLocal(st)
 	}
-	if s.state == statement.Failed {
-		return s.handleFailed(st)
-	}
 	var prepared *statement.Prepared
 	if st.Verb == statement.Execute {
 		p, known := s.prepared[st.Name]
@@ -286,12 +291,24 @@
 	return s.runSingle(st, prepared, arrived)
 }
 
+// abort rolls back the open transaction between two statements. The caller learns of it
+// from the reply to its next statement.
+func (s *session) abort() {
+	event := "transaction_idle"
+	if s.engine.transactionsEnded.Load() {
+		event = "transaction_stopped"
+	}
+	s.engine.log.Info(event, "session", s.id, "database", s.database, "limit", s.idleLimit())
+	s.rollBack()
+	s.state, s.abortUnreported = statement.Failed, true
+}
+
 // failure returns an error that the proxy itself raises. An open transaction is
 // rolled back and enters the failed state.
 func (s *session) failure(code statement.Code, detail string) statement.Reply {
 	if s.txn != nil || s.state == statement.Failed {
 		s.rollBack()
-		s.state = statement.Failed
+		s.state, s.abortUnreported = statement.Failed, false
 	}
 	return statement.Reply{Code: code, Detail: detail, State: s.state}
 }
@@ -329,25 +346,26 @@
 		return s.failure(statement.Malformed, "no transaction is open")
 	}
 	s.rollBack()
-	s.state = statement.Idle
+	s.state, s.abortUnreported = statement.Idle, false
 	return s.success()
 }
 
 // handleFailed replies to a statement in a failed transaction. COMMIT ends the
-// transaction with an error; everything else is rejected.
+// transaction with an error; everything else is rejected, as the caller's fault only if it
+// has been told of the failure.
 func (s *session) handleFailed(st statement.Statement) statement.Reply {
-	if st.Verb != statement.Commit {
+	reported := !s.abortUnreported
+	s.abortUnreported = false
+	if st.Verb == statement.Commit {
+		s.state = statement.Idle
+	} else if reported {
 		return statement.Reply{Code: statement.Malformed, Detail: "the transaction has failed", State: s.state}
 	}
-	s.state = statement.Idle
-	return statement.Reply{Code: statement.Aborted, Detail: "the transaction had failed and was rolled back"}
+	return statement.Reply{Code: statement.Aborted, Detail: "the transaction had failed and was rolled back", State: s.state}
 }
 
 // handleLocal executes statements that change only the session's state.
 func (s *session) handleLocal(st statement.Statement) statement.Reply {
-	if s.state == statement.Failed {
-		return statement.Reply{Code: statement.Malformed, Detail: "the transaction has failed", State: s.state}
-	}
 	switch st.Verb {
 	case statement.Set:
 		return s.handleSet(st)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -517,6 +518,41 @@
 	f.g.Expect(c.lastReply().Code).To(Equal(statement.Aborted))
 }
 
+// A caller whose transaction was rolled back while it waited for its next statement was told
+// that this statement is malformed, although it could not know of the rollback; it may
+// retry only after a promise that nothing was kept.
+func TestCallerLearnsOfRollbackBetweenItsStatements(t *testing.T) {
+	next := map[string]statement.Statement{
+		"read": {Verb: statement.Read}, "write": {Verb: statement.Write, Writes: true}, "set": {Verb: statement.Set, Name: "a", Value: "b"},
+		"prepare": {Verb: statement.Prepare, Name: "a", Value: "b"}, "execute": {Verb: statement.Execute, Name: "a"},
+		"deallocate": {Verb: statement.Deallocate, Name: "a"}, "commit": {Verb: statement.Commit},
+	}
+	for name, st := range next {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "own")
+			f.handle("b", statement.Begin)
+			f.g.Expect(f.handle("1", statement.Write).OK()).To(BeTrue())
+			f.session.conn = &pipeConn{Conn: discardConn{}}
+			f.g.Expect(f.session.handleReadError(os.ErrDeadlineExceeded)).To(BeTrue(), "the session goes on")
+			reply := f.session.handle(st, clock.Boottime())
+			f.g.Expect(reply.Code).To(Equal(statement.Aborted))
+			if st.Verb == statement.Commit {
+				f.g.Expect(reply.State).To(Equal(statement.Idle))
+				return
+			}
+			f.g.Expect(reply.State).To(Equal(statement.Failed))
+			f.g.Expect(f.session.handle(st, clock.Boottime()).Code).To(Equal(statement.Malformed), "the caller knows of the failure now")
+			f.g.Expect(f.handle("3", statement.Rollback).State).To(Equal(statement.Idle))
+			f.g.Expect(f.handle("4", statement.Read).OK()).To(BeTrue())
+		})
+	}
+}
+
+// discardConn is a net.Conn whose deadlines have no effect.
+type discardConn struct{ net.Conn }
+
+func (discardConn) SetReadDeadline(time.Time) error { return nil }
+
 // faultyConn panics when the first statement is read.
 type faultyConn struct{ Conn }
 
