End transactions of callers that send ahead when the VM stops

Cause: ends a transaction when the session waits for the next statement, and skips that while received bytes are unread. So a caller that always sends ahead kept its transaction until the end of the grace period.

Change: from half of the grace period on, a statement of an open transaction other than COMMIT is not run; the transaction is rolled back and the caller gets ABORTED. COMMIT still runs, since it ends the transaction either way.

Evidence: TestStopEndsTransactionOfCallerThatSendsAhead; without the change, its case read gets code 0 instead of 2 (aborted), and so does write.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -263,6 +263,9 @@
 
 // handle processes one statement and returns its reply.
 func (s *session) handle(st statement.Statement, arrived time.Duration) statement.Reply {
+	if s.txn != nil && s.engine.transactionsEnded.Load() && st.Verb != statement.Commit {
+		s.abort() // the statement was received before the transaction could be interrupted
+	}
 	if s.state == statement.Failed && st.Verb != statement.Rollback {
 		return s.handleFailed(st)
 	}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -553,6 +553,23 @@
 
 func (discardConn) SetReadDeadline(time.Time) error { return nil }
 
+// Statements that a caller had sent ahead went on after half of the grace period, until the
+// end of the process cut them off. A COMMIT ends the transaction in any case.
+func TestStopEndsTransactionOfCallerThatSendsAhead(t *testing.T) {
+	for verb, want := range map[statement.Verb]statement.Code{
+		statement.Read: statement.Aborted, statement.Write: statement.Aborted, statement.Commit: statement.NoError,
+	} {
+		t.Run(verb.String(), func(t *testing.T) {
+			f := newFixture(t, "own")
+			f.handle("b", statement.Begin)
+			f.g.Expect(f.handle("1", statement.Write).OK()).To(BeTrue())
+			f.engine.EndTransactions()
+			f.g.Expect(f.handle("2", verb).Code).To(Equal(want))
+			f.g.Expect(f.session.txn).To(BeNil())
+		})
+	}
+}
+
 // faultyConn panics when the first statement is read.
 type faultyConn struct{ Conn }
 
