--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -311,6 +311,55 @@
 	f.g.Expect(err).To(MatchError(ContainSubstring("NODB")))
 }
 
+// Servers ran statements with another text than callers had sent. Each text is sent to the
+// VM that is the home of the primary and to another one, which sends it on.
+func TestServersGetTextsAsSent(t *testing.T) {
+	f := newFleet(t)
+	prepared := []string{"WRITE q1", "WRITE q1 ", "WRITE  q1", "READ q2\n", "READ q2\rx ", "WRITE a\xff\x00b", "READ ", "READ q\nQUERY x-1 WRITE c d"}
+	data := []string{"a x", "a x ", "a  x", "a x\ny", "a x\ry", "a x\t", "a \xc3\x28\x00", "a see\nQUERY x-1 WRITE b y", "a"}
+	sent := map[string]string{} // text by ID
+	for i := range f.vms {
+		c := f.session(i, "grants")
+		for k, definition := range prepared {
+			f.g.Expect(c.do("p", fmt.Sprintf("PARSE s%d %s", k, definition)).code).To(BeEmpty())
+		}
+		for n, fields := range data {
+			for k := range prepared {
+				id := fmt.Sprintf("e%d.%d.%d", i, n, k)
+				sent[id] = "EXECUTE " + fields
+				f.g.Expect(c.do(id, fmt.Sprintf("EXECUTE s%d %s", k, fields)).code).To(BeEmpty())
+			}
+			id := fmt.Sprintf("w%d.%d", i, n)
+			sent[id] = "WRITE " + fields
+			f.g.Expect(c.do(id, sent[id]).code).To(BeEmpty())
+		}
+	}
+	definitions := map[string]bool{}
+	for _, zone := range zones {
+		for _, received := range f.group.Server("s-" + zone).Statements() {
+			id, text, _ := strings.Cut(received, " ")
+			verb, fields, _ := strings.Cut(text, " ")
+			if verb == "WAITLSN" {
+				_, text, _ = strings.Cut(fields, " ")
+				verb, fields, _ = strings.Cut(text, " ")
+			}
+			_, afterName, _ := strings.Cut(fields, " ")
+			switch {
+			case id == "-" && verb == "PARSE":
+				definitions[afterName] = true
+			case verb == "EXECUTE":
+				f.g.Expect("EXECUTE " + afterName).To(Equal(sent[id]))
+			case id != "-":
+				f.g.Expect(text).To(Equal(sent[id]), "id %s", id)
+			}
+		}
+	}
+	f.g.Expect(definitions).To(HaveLen(len(prepared)))
+	for _, definition := range prepared {
+		f.g.Expect(definitions).To(HaveKey(definition))
+	}
+}
+
 func TestCrashedPrimaryIsReplacedOnce(t *testing.T) {
 	f := newFleet(t)
 	c := f.session(1, "shop")
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -54,11 +54,10 @@
 	}()
 	r := bufio.NewReader(nc)
 	for started := false; ; started = true {
-		line, err := r.ReadString('\n')
+		line, err := readLine(r)
 		if err != nil {
 			return
 		}
-		line = strings.TrimRight(line, "\r\n")
 		if s.ignores(nc) {
 			select {} // never respond; the connection stays open until Crash or Close
 		}
@@ -78,6 +77,21 @@
 	}
 }
 
+// readLine reads one message, which only CR LF ends.
+func readLine(r *bufio.Reader) (string, error) {
+	var line strings.Builder
+	for {
+		part, err := r.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		line.WriteString(part)
+		if text, ended := strings.CutSuffix(line.String(), "\r\n"); ended {
+			return text, nil
+		}
+	}
+}
+
 // ignores reports whether the server does not respond on a connection.
 func (s *Server) ignores(nc net.Conn) bool {
 	ip, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // an unknown address is not blocked
