Do not keep a session's first message in memory

CONNECT may carry up to 1 MiB after the name of the database, which nobody counts: some 300 such sessions exceed the memory of a VM while they stand open.

Cause: the session keeps the name of the database, a substring of the message, and with it the whole message.

Change: the name is copied.

Looked for elsewhere: names of prepared statements and settings that are replaced do not keep their first message, since Go's maps update string keys.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -19,6 +19,7 @@
 	"runtime/debug"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -122,7 +123,7 @@
 		s.sendFatalError(err)
 		return
 	}
-	s.database = database
+	s.database = strings.Clone(database) // the message may be large
 	if _, err := s.engine.entry(database); err != nil {
 		s.engine.log.Info("session_refused", "session", s.id, "database", database, "revision", s.engine.source.Snapshot().Revision)
 		s.engine.countUnrouted(statement.UnknownDatabase)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -388,11 +389,18 @@
 	unblockOnce sync.Once     // closes unblock
 	replies     []statement.Reply
 	closed      bool
+	database    string // "": own
 }
 
-func (c *scriptConn) ReadStartup() (string, error) { return "own", nil }
-func (c *scriptConn) AcceptSession() error         { return nil }
-func (c *scriptConn) Buffered() bool               { return len(c.script) > 0 }
+func (c *scriptConn) ReadStartup() (string, error) {
+	if c.database == "" {
+		return "own", nil
+	}
+	return c.database, nil
+}
+
+func (c *scriptConn) AcceptSession() error { return nil }
+func (c *scriptConn) Buffered() bool       { return len(c.script) > 0 }
 
 func (c *scriptConn) Read() (statement.Statement, error) {
 	if len(c.script) == 0 {
@@ -613,3 +621,29 @@
 	f.g.Expect(prepare(sessions[3], "a", large)).To(Equal(statement.NoError))
 	f.g.Expect(f.engine.stateBytes.Load()).To(BeEquivalentTo(2*(large+1) + 200 + 1))
 }
+
+// The name of the database kept the whole first message of its session in memory.
+func TestSessionDoesNotKeepItsFirstMessage(t *testing.T) {
+	const size = 1 << 20
+	f := newFixture(t, "own")
+	before := liveHeap()
+	sessions := make([]*session, 20)
+	for i := range sessions {
+		c := &scriptConn{unblock: make(chan struct{}), database: ("own" + strings.Repeat("x", size))[:3]}
+		close(c.unblock)
+		sessions[i] = &session{engine: f.engine, id: uint64(i), conn: c}
+		f.g.Expect(f.engine.register(sessions[i])).To(BeTrue())
+		sessions[i].serve()
+		c.database = ""
+	}
+	f.g.Expect(liveHeap() - before).To(BeNumerically("<", size))
+	runtime.KeepAlive(sessions)
+}
+
+// liveHeap returns the size of the heap after a garbage collection.
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
