Bound the memory of messages that callers have not ended

Change: messages that do not fit a connection's buffer of 2 KB take their part of a budget, a tenth of the memory limit, until they are answered. The gateway of the PostgreSQL product had such a budget already (memoryLimit); both use internal/bytebudget.

Open: replies to callers that do not read are bounded each, not together.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -75,7 +75,7 @@
 	gauge := func(name string, f func() any) { r.Set(metricsGroup, name, expvar.Func(f)) }
 	gauge("sessions", func() any { return g.sessionCount() })
 	gauge("waiting", func() any { return g.waiting.Load() })
-	gauge("buffered_bytes", func() any { return g.memory.used.Load() })
+	gauge("buffered_bytes", func() any { return g.memory.Used() })
 	gauge("kinds", func() any { return c.stats() })
 	return c
 }
@@ -178,7 +178,7 @@
 func (g *Gateway) Dump() any {
 	return Dump{
 		Sessions: g.sessionCount(), InProgress: g.inProgressCount(), Draining: g.draining.Load(),
-		Waiting: g.waiting.Load(), BufferedBytes: g.memory.used.Load(),
+		Waiting: g.waiting.Load(), BufferedBytes: g.memory.Used(),
 		Kinds: g.counters.stats(), Servers: g.dumpServers(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"egretroad/internal/bytebudget"
 	"egretroad/internal/catalogue"
 	"egretroad/internal/outcome"
 	"egretroad/internal/routing"
@@ -25,7 +26,7 @@
 	deps        Deps
 	auth        *authenticator
 	counters    *counters
-	memory      memoryLimit
+	memory      *bytebudget.Budget
 	retryBudget *rate.Limiter
 	backendPool sync.Pool // of *pooledBackend
 	waiting     atomic.Int64
@@ -51,7 +52,7 @@
 	g := &Gateway{
 		options: o, deps: d, context: ctx, stop: stop, instanceID: rand.Text() + "-",
 		auth:         newAuthenticator(o),
-		memory:       memoryLimit{limit: o.MaxBufferedBytes},
+		memory:       bytebudget.New(o.MaxBufferedBytes),
 		retryBudget:  rate.NewLimiter(rate.Limit(o.RetriesPerSecond), o.RetryBurst),
 		sessions:     map[uint32]*session{},
 		listeners:    map[net.Listener]struct{}{},
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -117,7 +117,7 @@
 		f.Expect(f.exchange(input.bytes)).To(Equal(input.codes), input.name)
 	}
 	f.Eventually(f.gateway.sessionCount, "10s").Should(BeZero())
-	f.Expect(f.gateway.memory.used.Load()).To(BeZero())
+	f.Expect(f.gateway.memory.Used()).To(BeZero())
 }
 
 func TestBatchLimit(t *testing.T) {
@@ -136,7 +136,7 @@
 func TestMemoryLimit(t *testing.T) {
 	f := newFixture(t, func(o *Options) { o.MaxBufferedBytes = 1 << 20 })
 	f.Expect(f.exchange(append(bytes.Clone(shopStartup), frame('Q', 2<<20)...))).To(Equal([]string{"53200"}))
-	f.Expect(f.gateway.memory.used.Load()).To(BeZero())
+	f.Expect(f.gateway.memory.Used()).To(BeZero())
 }
 
 func TestConnectionLimit(t *testing.T) {
@@ -167,7 +167,7 @@
 		fx.exchangeOn(caller, input)
 		<-ended
 		fx.Expect(fx.gateway.sessionCount()).To(BeZero())
-		fx.Expect(fx.gateway.memory.used.Load()).To(BeZero())
+		fx.Expect(fx.gateway.memory.Used()).To(BeZero())
 		fx.Expect(fx.home.openLanes.Load()).To(BeZero())
 	})
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,28 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// memoryLimit is a budget of bytes. It is safe for concurrent use.
-type memoryLimit struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// tryReserve reserves n bytes. It returns false if that would exceed the limit.
-func (m *memoryLimit) tryReserve(n int64) bool {
-	if m.used.Add(n) > m.limit {
-		m.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (m *memoryLimit) release(n int64) { m.used.Add(-n) }
-
 // messageTooLargeError reports a frontend message over the size limit.
 type messageTooLargeError struct{ Bytes, Limit int }
 
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -287,7 +287,7 @@
 	if n <= readBufferBytes {
 		return nil
 	}
-	if !w.gateway.memory.tryReserve(n) {
+	if !w.gateway.memory.TryReserve(n) {
 		return &memoryError{}
 	}
 	w.reservedBytes += n
@@ -297,7 +297,7 @@
 // releaseReserved releases the memory reserved for the messages of a batch.
 func (w *wireConn) releaseReserved() {
 	if w.reservedBytes > 0 {
-		w.gateway.memory.release(w.reservedBytes)
+		w.gateway.memory.Release(w.reservedBytes)
 		w.reservedBytes = 0
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"egretroad/internal/broker"
+	"egretroad/internal/bytebudget"
 	"egretroad/internal/clock"
 	controlmachine "egretroad/internal/control"
 	control "egretroad/internal/control/run"
@@ -62,7 +63,7 @@
 	Registrar     Registrar
 	Connector     broker.Connector
 	Promoter      promotion.Promoter // nil: promotion is disabled
-	NewCallerConn func(net.Conn) session.Conn
+	NewCallerConn func(net.Conn, *bytebudget.Budget) session.Conn
 	// ReadyHandler returns the handler of the readiness probe. It calls ready on
 	// each probe.
 	ReadyHandler func(ready func() bool) http.Handler
@@ -110,6 +111,11 @@
 // statements may take. The garbage collector may double it.
 const sessionStateDivisor = 10
 
+// messagesDivisor is the part of the memory limit that the callers' messages may take while
+// they are received or run. A message that is sent on to another VM is encoded there and
+// decoded here once more.
+const messagesDivisor = 10
+
 // heapFraction is the fraction of the memory limit that is the target for the Go heap.
 // The rest is for stacks and socket buffers.
 const heapFraction = 0.6
@@ -429,6 +435,7 @@
 	}
 	if s.MemoryBytes > 0 {
 		o.MaxStateBytes = s.MemoryBytes / sessionStateDivisor
+		o.MaxMessageBytes = s.MemoryBytes / messagesDivisor
 	}
 	return session.New(o, session.Deps{
 		Self: s.Self, Incarnation: uint64(start), Source: p, Broker: r, NewConn: a.NewCallerConn, Log: log.Named("session"), Metrics: m,
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"egretroad/internal/broker"
+	"egretroad/internal/bytebudget"
 	"egretroad/internal/catalogue"
 	"egretroad/internal/metrics"
 	"egretroad/internal/statement"
@@ -26,6 +27,9 @@
 	// MaxStateBytes is the maximum total size of the sessions' values and prepared
 	// statements.
 	MaxStateBytes int64
+	// MaxMessageBytes is the maximum total size of the messages that are being received or
+	// run. Messages that fit a connection's buffer do not count.
+	MaxMessageBytes int64
 	// IdleInTxn is the idle-in-transaction time-out of catalogue entries that set none.
 	IdleInTxn time.Duration
 	// NoPrimaryWait is how long a statement waits while its group has no primary: a
@@ -48,7 +52,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		MaxSessions: 3500, MaxStateBytes: 32 << 20, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
+		MaxSessions: 3500, MaxStateBytes: 32 << 20, MaxMessageBytes: 32 << 20, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
 		RetryBackoff: 50 * time.Millisecond, RetryBackoffMax: 200 * time.Millisecond, StalenessMargin: 50 * time.Millisecond, SuccessLogRate: 100,
 		Selection: DefaultSelectionOptions(),
 	}
@@ -70,7 +74,8 @@
 	source      topology.Source
 	broker      broker.Broker
 	log         hclog.Logger
-	newConn     func(net.Conn) Conn
+	newConn     func(net.Conn, *bytebudget.Budget) Conn
+	messages    *bytebudget.Budget
 	positions   *positionCache
 	selector    *serverSelector
 	metrics     statementMetrics
@@ -93,7 +98,7 @@
 	Incarnation uint64 // incarnation of the process
 	Source      topology.Source
 	Broker      broker.Broker
-	NewConn     func(net.Conn) Conn
+	NewConn     func(net.Conn, *bytebudget.Budget) Conn
 	Log         hclog.Logger
 	Metrics     *metrics.Registry
 }
@@ -102,6 +107,7 @@
 func New(o Options, d Deps) *Engine {
 	e := &Engine{
 		options: o, self: d.Self.ID, incarnation: d.Incarnation, source: d.Source, broker: d.Broker, log: d.Log, newConn: d.NewConn,
+		messages:          bytebudget.New(o.MaxMessageBytes),
 		selector:          newServerSelector(o.Selection, d.Self),
 		successLogLimiter: rate.NewLimiter(rate.Limit(o.SuccessLogRate), int(o.SuccessLogRate)),
 		sessions:          map[*session]struct{}{},
@@ -109,6 +115,7 @@
 	e.positions = newPositionCache(e)
 	e.metrics = newStatementMetrics(d.Metrics)
 	d.Metrics.Gauge("session_state_bytes", "Size of the sessions' values and prepared statements.", func() float64 { return float64(e.stateBytes.Load()) })
+	d.Metrics.Gauge("message_bytes", "Memory of the callers' messages that are being received or run.", func() float64 { return float64(e.messages.Used()) })
 	d.Metrics.Gauge("sessions", "Callers' sessions.", func() float64 { return float64(e.Sessions()) })
 	return e
 }
@@ -132,7 +139,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s := &session{engine: e, id: e.lastSessionID.Add(1), conn: e.newConn(conn)}
+		s := &session{engine: e, id: e.lastSessionID.Add(1), conn: e.newConn(conn, e.messages)}
 		if !e.register(s) {
 			e.log.Warn("session_refused", "session", s.id, "limit", e.options.MaxSessions)
 			_ = s.conn.SendFatalError(statement.Busy, "too many sessions") // the session ends in any case
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"egretroad/internal/broker"
+	"egretroad/internal/bytebudget"
 	"egretroad/internal/catalogue"
 	"egretroad/internal/clock"
 	"egretroad/internal/eventlog"
@@ -113,7 +114,7 @@
 	o.NoPrimaryWait, o.RetryBackoff = 300*time.Millisecond, 5*time.Millisecond
 	f.engine = New(o, Deps{
 		Self: topology.VM{ID: "vm", DataCentre: "a", Region: "r"}, Source: f.publisher, Broker: f.broker, Log: eventlog.Discard(),
-		Metrics: metrics.NewRegistry(), NewConn: func(net.Conn) Conn { return nil },
+		Metrics: metrics.NewRegistry(), NewConn: func(net.Conn, *bytebudget.Budget) Conn { return nil },
 	})
 	f.session = &session{engine: f.engine, id: 1, database: database}
 	return f
