End the claim for a primary that registers as a replica

Callers would see: no write succeeds (READONLY) after the platform has promoted a server that no VM has designated, through an operator's call or a call later than any limit, until a VM restarts.

Cause: what is stated about one designation held for another state of the group. The claim that the designated server is primary counted until a later registration named a primary, and only the designated server's registrations count. It had become a replica and said so; the group kept a primary on which every write fails, so no election started.

Change: a claim ends when its server registers as a replica later than the claim, but not in the first 2.5 s, since a promotion takes effect some hundred milliseconds after the call. The group then has no primary, and the election promotes the designated server again. Event lead_refuted.

Traced: the stand-in's servers wrote their entries with the same count each time, so a VM that missed the entry in between took "replica" for the same write as before the promotion.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -135,6 +135,7 @@
 	m.members.delistMissing(now)
 	m.members.prune(now)
 	m.dropLapsedServers()
+	m.endRefutedClaims()
 	m.detectSilentDataCentres()
 }
 
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -42,6 +42,9 @@
 	// assigns homes; without the list it would consider itself the home of every
 	// server. A slow store responds within a quarter of this time.
 	VMListTimeout time.Duration
+	// PrimaryClaimGrace is how long a server that was found to be primary may register as a
+	// replica: its promotion takes effect some hundred milliseconds after the call.
+	PrimaryClaimGrace time.Duration
 	// LapsedRegistrationTTL is how long a server is kept after its registration ended
 	// without notice: registrations lapse during a store outage and reappear shortly
 	// after it.
@@ -119,6 +122,7 @@
 		WaitingLogInterval: 10 * time.Second,
 
 		VMListTimeout:          time.Second,
+		PrimaryClaimGrace:      2500 * time.Millisecond,
 		LapsedRegistrationTTL:  2500 * time.Millisecond,
 		DataCentreSilenceLimit: 3 * time.Second,
 		RestoredVMsTTL:         5 * time.Second,
--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -14,7 +14,7 @@
 // registration lapsed recently, and the data centres considered silent.
 type registrations struct {
 	designations      map[string]topology.Designation // by database; newest known choice of the primary
-	primaryClaims     map[string]PrimaryClaim         // by database; primaries found before the store shows them
+	primaryClaims     map[string]learnedClaim         // by database; primaries found before the store shows them
 	lastMessage       map[string]time.Duration        // by data centre; last message from any of its VMs
 	silentDataCentres map[string]bool                 // data centres whose VMs are not eligible as homes
 	active            map[string]activeRegistration   // registrations in force, by server ID
@@ -38,7 +38,7 @@
 
 func newRegistrations() registrations {
 	return registrations{
-		designations: map[string]topology.Designation{}, primaryClaims: map[string]PrimaryClaim{}, lastMessage: map[string]time.Duration{}, silentDataCentres: map[string]bool{},
+		designations: map[string]topology.Designation{}, primaryClaims: map[string]learnedClaim{}, lastMessage: map[string]time.Duration{}, silentDataCentres: map[string]bool{},
 		active: map[string]activeRegistration{}, lapsed: map[string]lapsedServer{},
 	}
 }
@@ -46,13 +46,21 @@
 // PrimaryClaim is the body of method.PrimaryClaim: a server that is primary of its group,
 // according to the VM that promoted or queried it. The claim overrides the
 // registrations until one later than Version names a primary, because registrations
-// cannot change during a store outage.
+// cannot change during a store outage. It ends as well when the server itself registers as
+// a replica later than Version.
 type PrimaryClaim struct {
 	Database string `msgpack:"d"`
 	Server   string `msgpack:"s"`
 	Version  uint64 `msgpack:"v"` // highest version of the group's registrations at the time of the claim
 }
 
+// learnedClaim is a primary claim that this VM knows.
+type learnedClaim struct {
+	PrimaryClaim
+	learnedAt time.Duration
+	ended     bool // the server has registered as a replica since
+}
+
 // PrimaryFound reports a server that was found to be primary of its group.
 type PrimaryFound struct{ Database, Server string }
 
@@ -86,7 +94,7 @@
 			claim.Version = max(claim.Version, r.version)
 		}
 	}
-	if g := m.snapshot.current.Groups[e.Database]; g == nil || g.Primary == e.Server && m.registrations.primaryClaims[e.Database] != claim {
+	if g := m.snapshot.current.Groups[e.Database]; g == nil || g.Primary == e.Server && m.registrations.primaryClaims[e.Database].PrimaryClaim != claim {
 		return
 	}
 	m.mergePrimaryClaim(claim, m.cfg.Self.ID)
@@ -96,10 +104,10 @@
 
 // mergePrimaryClaim stores a primary claim unless a later one is known.
 func (m *Machine) mergePrimaryClaim(claim PrimaryClaim, from string) {
-	if old, known := m.registrations.primaryClaims[claim.Database]; known && (old.Version > claim.Version || old == claim) {
+	if old, known := m.registrations.primaryClaims[claim.Database]; known && (old.Version > claim.Version || old.PrimaryClaim == claim) {
 		return
 	}
-	m.registrations.primaryClaims[claim.Database] = claim
+	m.registrations.primaryClaims[claim.Database] = learnedClaim{PrimaryClaim: claim, learnedAt: m.now}
 	m.snapshot.changedGroups[claim.Database] = true
 	m.log("lead_learned", "database", claim.Database, "server", claim.Server, "version", claim.Version, "from", from)
 }
@@ -137,6 +145,22 @@
 	}
 }
 
+// endRefutedClaims ends the claims whose server has registered as a replica since. A server
+// may do so until its promotion takes effect, hence the delay.
+func (m *Machine) endRefutedClaims() {
+	for database, claim := range m.registrations.primaryClaims {
+		r, registered := m.registrations.active[claim.Server]
+		if claim.ended || !registered || r.value.Role == topology.RolePrimary || r.version <= claim.Version || m.now-claim.learnedAt < m.opts.PrimaryClaimGrace {
+			continue
+		}
+		claim.ended = true
+		m.registrations.primaryClaims[database] = claim
+		m.snapshot.changedGroups[database] = true
+		m.log("lead_refuted", "database", database, "server", claim.Server, "version", claim.Version, "registration", r.version)
+		m.publishWhenDue()
+	}
+}
+
 // groupOf returns a database's group, or nil if there is none.
 func (m *Machine) groupOf(database string) *topology.Group {
 	if !m.opts.SelfRegistration {
@@ -178,7 +202,7 @@
 	if len(g.Servers) == 0 {
 		return nil
 	}
-	if claim, known := m.registrations.primaryClaims[database]; known && claim.Version >= primary {
+	if claim, known := m.registrations.primaryClaims[database]; known && !claim.ended && claim.Version >= primary {
 		_, registered := g.Server(claim.Server)
 		if registered && (g.Designation.Server == "" || g.Designation.Server == claim.Server) {
 			g.Primary = claim.Server
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -249,6 +249,34 @@
 	g.Expect(h.group().Primary).To(Equal("1"))
 }
 
+// A group had no usable primary for good when the platform replaced a promoted server without
+// a designation: the claim for the server held, although it had registered as a replica.
+func TestPrimaryClaimEndsWhenItsServerRegistersAsReplica(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(5, registration(g, "1", 3, topology.RolePrimary, topology.ServerActive), registration(g, "2", 4, topology.RoleReplica, topology.ServerActive))
+	h.tick(time.Second)
+	h.post(control.PrimaryDesignated{Database: "orders", Designation: topology.Designation{Server: "2", Holder: "a1", Token: 6}})
+	h.post(control.PrimaryFound{Database: "orders", Server: "2"})
+	watched := func(since, revision uint64, registrations ...platform.Object) {
+		h.post(control.ObjectsWatched{Since: since, Response: platform.WatchResponse{Revision: revision, Objects: registrations}})
+	}
+	// Its promotion may not have taken effect yet.
+	watched(5, 8, registration(g, "2", 8, topology.RoleReplica, topology.ServerActive))
+	h.tick(control.DefaultOptions().PrimaryClaimGrace / 2)
+	g.Expect(h.group().Primary).To(Equal("2"))
+	watched(8, 9, registration(g, "2", 9, topology.RolePrimary, topology.ServerActive))
+	h.tick(control.DefaultOptions().PrimaryClaimGrace)
+	g.Expect(h.group().Primary).To(Equal("2"))
+	// Another server is promoted that no VM has designated.
+	watched(9, 11, registration(g, "1", 10, topology.RolePrimary, topology.ServerActive), registration(g, "2", 11, topology.RoleReplica, topology.ServerActive))
+	h.tick(time.Second)
+	g.Expect(h.group().Primary).To(BeEmpty(), "so that the designated server is promoted again")
+	// It is, and a later claim counts.
+	h.post(control.PrimaryFound{Database: "orders", Server: "2"})
+	h.tick(time.Second)
+	g.Expect(h.group().Primary).To(Equal("2"))
+}
+
 // homes returns the homes of the last published snapshot.
 func (h *harness) homes() map[string]string {
 	var homes map[string]string
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -35,8 +35,9 @@
 	// keepsOldPrimaries makes the platform neither stop a replaced primary nor refuse a
 	// low fencing token.
 	keepsOldPrimaries bool
-	links             *peerLinks // nil: peers connect directly
-	beforeVMs         func()     // called before the VMs start; nil: nothing
+	links             *peerLinks    // nil: peers connect directly
+	heartbeats        atomic.Uint64 // number of the servers' writes of their entries
+	beforeVMs         func()        // called before the VMs start; nil: nothing
 }
 
 // vm is one running node.
@@ -118,7 +119,7 @@
 	}
 	f.store.Put("servers", id, map[string]any{
 		"service": "orders", "address": f.group.Server(id).Addr(), "zone": zone, "version": "v1", "slots": 2,
-		"state": state, "cold-left-ms": 0, "db-role": role, "seq": 1, "born": 1,
+		"state": state, "cold-left-ms": 0, "db-role": role, "seq": f.heartbeats.Add(1), "born": 1,
 	})
 }
 
