--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -52,8 +52,7 @@
 	safeAt       time.Duration
 	nextStepDown time.Duration
 	unanswered   bool // a call of this attempt has had no answer
-	// pendingServer is the server of the designation before if calls for it may still take
-	// effect; callsPendingUntil is when they have ended, where they name the same server.
+	// pendingServer is that of ClaimResult; callsPendingUntil is when they have ended, where they name the same server.
 	pendingServer     string
 	callsPendingUntil time.Duration
 	// stepDownSuffices is set if no VM can use any other server than oldPrimary.
@@ -567,7 +566,7 @@
 	a.safeAt, a.nextStepDown = safeAt, m.now
 }
 
-// awaitPendingCalls returns when the promotion call may be sent. Calls of the designation
+// awaitPendingCalls returns when the promotion call may be sent. Calls of the designations
 // before may be sent until safeAt, and take effect until LateCallLimit later: they must not
 // follow a call for another server.
 func (m *Machine) awaitPendingCalls(a *attempt, safeAt time.Duration) time.Duration {
