Answer statements before a stopping process ends

A read or write whose group has no primary is retried for 3.5 s, and the sessions have some 3.4 s between the end of the not-ready delay and the end of the process.

Cause: time limits of statements did not know of the stop.

Change: the drain has a deadline; statements that are sent or retried during it end 0.2 s earlier, with BUSY where they have not run, ABORTED or INDOUBT otherwise. A statement that was sent before the drain and runs to its end is still cut off, as the time-out at its server was set then.

Evidence: TestStatementsAreAnsweredBeforeDrainEnds and TestStopBoundsTimeOfStatements fail without the change (the drain ends with "context deadline exceeded", and no reply).

--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -15,6 +15,7 @@
 	"egretroad/internal/broker"
 	"egretroad/internal/bytebudget"
 	"egretroad/internal/catalogue"
+	"egretroad/internal/clock"
 	"egretroad/internal/metrics"
 	"egretroad/internal/statement"
 	"egretroad/internal/topology"
@@ -86,6 +87,7 @@
 	drainStarted      atomic.Bool
 	transactionsEnded atomic.Bool  // transactions go on no longer
 	stateBytes        atomic.Int64 // total size of the sessions' values and prepared statements
+	stopAt            atomic.Int64 // when a stop gives statements up, on CLOCK_BOOTTIME; 0: there is none
 	active            sync.WaitGroup
 
 	mu       sync.Mutex // guards sessions
@@ -193,9 +195,25 @@
 
 func (e *Engine) draining() bool { return e.drainStarted.Load() }
 
+// answerMargin is the end of a drain, reserved for the answers to statements that are given
+// up.
+const answerMargin = 200 * time.Millisecond
+
+// beforeStop returns the earlier of a point in time and the one at which a stop gives
+// statements up, both on CLOCK_BOOTTIME.
+func (e *Engine) beforeStop(at time.Duration) time.Duration {
+	if stopAt := time.Duration(e.stopAt.Load()); stopAt != 0 {
+		return min(at, stopAt)
+	}
+	return at
+}
+
 // Drain ends sessions as they become idle outside a transaction, and waits until none
-// is left or ctx ends.
+// is left or ctx ends. Statements that are sent or retried meanwhile end before ctx does.
 func (e *Engine) Drain(ctx context.Context) error {
+	if deadline, limited := ctx.Deadline(); limited {
+		e.stopAt.Store(int64(clock.Boottime() + time.Until(deadline) - answerMargin))
+	}
 	e.drainStarted.Store(true)
 	e.interruptIdle()
 	awaitingFirst := time.AfterFunc(firstStatementTimeout, e.interruptAwaitingFirst)
--- a/internal/session/run.go
+++ b/internal/session/run.go
@@ -121,7 +121,7 @@
 	x.attempts = 1
 	r := x.request(t.server)
 	r.InTransaction, r.Via = true, t.via
-	r.QueueTimeout = x.entry.Deadline.Duration()
+	r.QueueTimeout = r.StatementTimeout
 	requestedAt := clock.Boottime()
 	result := x.session.engine.broker.Run(context.Background(), r)
 	x.recordResult(result, requestedAt)
@@ -130,11 +130,13 @@
 
 // request builds the broker request for one attempt.
 func (x *execution) request(server string) broker.Request {
+	now := clock.Boottime()
+	timeout := x.session.engine.beforeStop(now+x.entry.Deadline.Duration()) - now
 	return broker.Request{
 		Lane: x.lane, Database: x.entry.GroupName(), Server: server, Entry: x.entry.Name,
 		Caller: x.session.callerName(), Rank: x.entry.Rank, Begin: x.begin,
 		Statement: x.statement, Prepared: x.prepared, Settings: x.session.settings, MinPosition: x.minPosition,
-		StatementTimeout: x.entry.Deadline.Duration(), IdleTimeout: x.entry.IdleInTxn.Duration(),
+		StatementTimeout: max(timeout, time.Millisecond), IdleTimeout: x.entry.IdleInTxn.Duration(),
 	}
 }
 
@@ -153,6 +155,7 @@
 	deadline := x.startedAt + x.waitLimit()
 	retryBackoff := x.session.engine.options.newRetryBackoff()
 	for {
+		deadline = x.session.engine.beforeStop(deadline)
 		result, tried := x.attempt(deadline)
 		x.lastResult = result
 		if result.Outcome == broker.Ran && !result.Reply.NotRun() {
@@ -165,6 +168,7 @@
 			x.replaceLane(result)
 		}
 		now := clock.Boottime()
+		deadline = x.session.engine.beforeStop(deadline)
 		if now >= deadline {
 			return result
 		}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -579,6 +579,50 @@
 	}
 }
 
+// A statement that was still retried or running when the process ended got no answer, and its
+// caller only the end of the connection.
+func TestStatementsAreAnsweredBeforeDrainEnds(t *testing.T) {
+	ends := map[string]func(broker.Request) broker.Result{
+		"retried": func(broker.Request) broker.Result { return notRun(outcome.ReasonNoPrimary) },
+		"running": func(r broker.Request) broker.Result {
+			time.Sleep(min(r.StatementTimeout, 50*time.Millisecond)) // retried after a lost response
+			return broker.Result{Outcome: broker.OutcomeUnknown, Reason: outcome.ReasonStatementTimeout}
+		},
+	}
+	for name, run := range ends {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "own")
+			f.engine.options.NoPrimaryWait = time.Hour
+			f.broker.run = run
+			c := &scriptConn{script: []statement.Statement{{ID: "r1", Verb: statement.Read}}, unblock: make(chan struct{})}
+			s := &session{engine: f.engine, id: 1, conn: c}
+			f.g.Expect(f.engine.register(s)).To(BeTrue())
+			go s.serve()
+			f.g.Eventually(func() int { return f.broker.requestCount("r1") }, "20s", "1ms").Should(BeNumerically(">", 0))
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			f.g.Expect(f.engine.Drain(ctx)).To(Succeed())
+			f.g.Expect(c.replies).To(HaveLen(1))
+			f.g.Expect(c.replies[0].Code).To(BeElementOf(statement.Busy, statement.Aborted))
+		})
+	}
+}
+
+// Statements that a stopping VM sends to a server end before the process does.
+func TestStopBoundsTimeOfStatements(t *testing.T) {
+	f := newFixture(t, "own")
+	f.g.Expect(f.handle("w1", statement.Write).OK()).To(BeTrue())
+	f.g.Expect(f.broker.requests[0].StatementTimeout).To(Equal(newEntry("own", catalogue.FreshOwn).Deadline.Duration()))
+	f.engine.stopAt.Store(int64(clock.Boottime() + 50*time.Millisecond))
+	f.handle("b", statement.Begin)
+	f.handle("w2", statement.Write)
+	f.handle("c", statement.Commit)
+	for _, r := range f.broker.requests[1:] {
+		f.g.Expect(r.StatementTimeout).To(BeNumerically("<=", 50*time.Millisecond))
+		f.g.Expect(r.QueueTimeout).To(BeNumerically("<=", 50*time.Millisecond))
+	}
+}
+
 // faultyConn panics when the first statement is read.
 type faultyConn struct{ Conn }
 
