Limit each wait of an open transaction during a gateway's drain

Callers would see (PostgreSQL product): a connection cut without an error at the end of a drain, if a transaction ran a statement during the drain and was then left open. It also kept the proxy from ending until the drain's time-out.

Cause: the idle limit was set once, for the wait that the drain interrupts, and cleared with the next statement; docs/operating/draining.md promises it for any open transaction.

Change: during a drain, each wait of an open transaction has the limit.

Open: transactions that are still open at the end of the drain's time-out end with their connection, without an error.

--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -114,6 +114,9 @@
 			}
 			return errDraining
 		}
+		if s.gateway.draining.Load() && s.drainDeadline.IsZero() {
+			s.setDrainDeadline()
+		}
 		err := s.conn.waitForInput()
 		if err == nil {
 			s.clearDrainDeadline()
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -399,6 +399,25 @@
 	f.Expect(f.home.openLanes.Load()).To(BeZero(), "the transaction is rolled back")
 }
 
+// An open transaction that ran a statement during a drain had no idle limit any more. Its caller
+// kept it open until the end of the drain, which cut the connection without an error.
+func TestDrainEndsTransactionsThatBecomeIdleAgain(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.DefaultIdleInTxn = 2 * time.Second })
+	c := f.dialRaw()
+	c.query("BEGIN")
+	c.query("INSERT INTO kv (key, value) VALUES ('a', '1')")
+	drained := make(chan error, 1)
+	go func() { drained <- f.gateway.Drain(f.context()) }()
+	f.Eventually(f.gateway.draining.Load, "10s").Should(BeTrue())
+	c.query("INSERT INTO kv (key, value) VALUES ('b', '1')")
+	f.Expect(c.conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	response, err := io.ReadAll(c.conn)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(sqlstatesIn(response)).To(Equal([]string{"57P01"}))
+	f.Eventually(drained, "10s").Should(Receive(BeNil()))
+	f.Expect(f.home.openLanes.Load()).To(BeZero(), "the transaction is rolled back")
+}
+
 // TestHomeReportsOutcomeAfterDeadline has the home respond shortly after the deadline. The
 // gateway must wait for the outcome that the home reports instead of reporting the
 // request as unknown.
