Refuse statements while unread replies take too much memory

Callers that ask for large rows and do not read the replies keep each reply in memory for up to 5 s, the time-out of a write; nothing bounded them together. Found by looking for buffers that callers can grow; no process was killed for it.

Cause: each reply is bounded by what servers send, not all replies that are being sent.

Evidence: TestUnreadRepliesAreBounded; without the check 30 sessions run a statement each and hold 30 MiB, with it five do.

Open: the copy of a reply for its connection and kernel buffers are not counted; a server's reply itself has no limit.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -436,6 +436,7 @@
 	if s.MemoryBytes > 0 {
 		o.MaxStateBytes = s.MemoryBytes / sessionStateDivisor
 		o.MaxMessageBytes = s.MemoryBytes / messagesDivisor
+		o.MaxReplyBytes = s.MemoryBytes / messagesDivisor
 	}
 	return session.New(o, session.Deps{
 		Self: s.Self, Incarnation: uint64(start), Source: p, Broker: r, NewConn: a.NewCallerConn, Log: log.Named("session"), Metrics: m,
--- a/internal/session/engine.go
+++ b/internal/session/engine.go
@@ -31,6 +31,10 @@
 	// MaxMessageBytes is the maximum total size of the messages that are being received or
 	// run. Messages that fit a connection's buffer do not count.
 	MaxMessageBytes int64
+	// MaxReplyBytes is the size of the replies being sent from which on no statements are run:
+	// callers that do not read keep theirs in memory. Replies up to largeReplyBytes do not
+	// count.
+	MaxReplyBytes int64
 	// IdleInTxn is the idle-in-transaction time-out of catalogue entries that set none.
 	IdleInTxn time.Duration
 	// NoPrimaryWait is how long a statement waits while its group has no primary: a
@@ -53,7 +57,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		MaxSessions: 3500, MaxStateBytes: 32 << 20, MaxMessageBytes: 32 << 20, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
+		MaxSessions: 3500, MaxStateBytes: 32 << 20, MaxMessageBytes: 32 << 20, MaxReplyBytes: 32 << 20, IdleInTxn: 5 * time.Second, NoPrimaryWait: 3500 * time.Millisecond,
 		RetryBackoff: 50 * time.Millisecond, RetryBackoffMax: 200 * time.Millisecond, StalenessMargin: 50 * time.Millisecond, SuccessLogRate: 100,
 		Selection: DefaultSelectionOptions(),
 	}
@@ -88,6 +92,7 @@
 	transactionsEnded atomic.Bool  // transactions go on no longer
 	stateBytes        atomic.Int64 // total size of the sessions' values and prepared statements
 	stopAt            atomic.Int64 // when a stop gives statements up, on CLOCK_BOOTTIME; 0: there is none
+	replyBytes        atomic.Int64 // size of the large replies that are being sent
 	active            sync.WaitGroup
 
 	mu       sync.Mutex // guards sessions
@@ -117,6 +122,7 @@
 	e.positions = newPositionCache(e)
 	e.metrics = newStatementMetrics(d.Metrics)
 	d.Metrics.Gauge("session_state_bytes", "Size of the sessions' values and prepared statements.", func() float64 { return float64(e.stateBytes.Load()) })
+	d.Metrics.Gauge("reply_bytes", "Size of the large replies that are being sent to callers.", func() float64 { return float64(e.replyBytes.Load()) })
 	d.Metrics.Gauge("message_bytes", "Memory of the callers' messages that are being received or run.", func() float64 { return float64(e.messages.Used()) })
 	d.Metrics.Gauge("sessions", "Callers' sessions.", func() float64 { return float64(e.Sessions()) })
 	return e
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -157,7 +157,23 @@
 	if err != nil {
 		return s.handleReadError(err)
 	}
-	return s.conn.Reply(s.handle(st, arrived)) == nil
+	return s.send(s.handle(st, arrived)) == nil
+}
+
+// largeReplyBytes is the size from which on replies count towards MaxReplyBytes.
+const largeReplyBytes = 2 << 10
+
+// send sends a reply to the caller, which may take long to read it.
+func (s *session) send(reply statement.Reply) error {
+	size := 0
+	for _, row := range reply.Rows {
+		size += len(row)
+	}
+	if size >= largeReplyBytes {
+		s.engine.replyBytes.Add(int64(size))
+		defer s.engine.replyBytes.Add(-int64(size))
+	}
+	return s.conn.Reply(reply)
 }
 
 // prepareRead sets the read deadline for the next statement and reports whether the
@@ -278,6 +294,9 @@
 	case statement.Set, statement.Prepare, statement.Deallocate:
 		return s.handleLocal(st)
 	}
+	if st.Verb != statement.Commit && s.engine.replyBytes.Load() > s.engine.options.MaxReplyBytes {
+		return s.failure(statement.Busy, "replies that callers of this VM have not read take too much memory")
+	}
 	var prepared *statement.Prepared
 	if st.Verb == statement.Execute {
 		p, known := s.prepared[st.Name]
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -623,6 +624,56 @@
 	}
 }
 
+// stuckConn is a scriptConn whose caller reads no reply until it is released.
+type stuckConn struct {
+	scriptConn
+	stuck   *atomic.Int32 // number of replies that wait
+	release chan struct{}
+}
+
+func (c *stuckConn) Reply(r statement.Reply) error {
+	c.stuck.Add(1)
+	<-c.release
+	return c.scriptConn.Reply(r)
+}
+
+// Callers that asked for large rows and did not read the replies took the process over its
+// memory limit.
+func TestUnreadRepliesAreBounded(t *testing.T) {
+	const sessions, size, limit = 30, 1 << 20, 4 << 20
+	f := newFixture(t, "own")
+	f.engine.options.MaxReplyBytes = limit
+	row := strings.Repeat("x", size)
+	f.broker.run = func(r broker.Request) broker.Result {
+		result := success(r)
+		result.Reply.Rows = []string{row}
+		return result
+	}
+	release := make(chan struct{})
+	var stuck atomic.Int32
+	var conns []*stuckConn
+	for i := range sessions {
+		c := &stuckConn{stuck: &stuck, release: release, scriptConn: scriptConn{script: []statement.Statement{{ID: "r", Verb: statement.Read}}, unblock: make(chan struct{})}}
+		conns = append(conns, c)
+		s := &session{engine: f.engine, id: uint64(i), conn: c}
+		f.g.Expect(f.engine.register(s)).To(BeTrue())
+		go s.serve()
+		f.g.Eventually(stuck.Load, "20s", "1ms").Should(BeEquivalentTo(i + 1))
+	}
+	close(release)
+	busy := 0
+	for _, c := range conns {
+		f.g.Eventually(func() int { c.mu.Lock(); defer c.mu.Unlock(); return len(c.replies) }, "20s", "1ms").Should(Equal(1))
+		if c.replies[0].Code == statement.Busy {
+			busy++
+		}
+	}
+	f.g.Expect(f.broker.requestCount("r")).To(Equal(limit/size + 1))
+	f.g.Expect(busy).To(Equal(sessions - (limit/size + 1)))
+	f.g.Eventually(f.engine.replyBytes.Load, "20s", "1ms").Should(BeZero())
+	f.g.Expect(f.handle("r2", statement.Read).OK()).To(BeTrue(), "statements run again")
+}
+
 // faultyConn panics when the first statement is read.
 type faultyConn struct{ Conn }
 
