--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -52,7 +52,8 @@
 	safeAt       time.Duration
 	nextStepDown time.Duration
 	unanswered   bool // a call of this attempt has had no answer
-	// pendingServer is that of ClaimResult; callsPendingUntil is when they have ended, where they name the same server.
+	// pendingServer is that of ClaimResult; callsPendingUntil is when no call of an earlier
+	// designation can take effect any more.
 	pendingServer     string
 	callsPendingUntil time.Duration
 	// stepDownSuffices is set if no VM can use any other server than oldPrimary.
