End a promotion's wait when the silent VMs have acknowledged

Hypothesis: asking the silent VMs again during the wait ends it about a second after they are back, at the price of one round of requests and one read of the list of VMs a second.

Change: while a promotion waits for silent VMs, it asks all VMs again once a second and takes the earlier of the two times at which the call is safe. The same holds for the end of earlier calls. A VM that has acknowledged keeps to it, so that a later set of acknowledgements is as good as the first; the list is read again with it.

Evidence: TestWaitEndsWhenSilentVMsHaveAcknowledged, TestAskingAgainKeepsWaitForPendingCalls.

Open: another VM still takes a promotion over after 5 s (HolderLimit) and begins its wait anew.

--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -51,7 +51,9 @@
 	received     topology.Mark // log that the elected server has received
 	safeAt       time.Duration
 	nextStepDown time.Duration
-	unanswered   bool // a call of this attempt has had no answer
+	nextAsk      time.Duration // when silent VMs are asked again
+	asking       bool          // they are being asked
+	unanswered   bool          // a call of this attempt has had no answer
 	// pendingServer is that of ClaimResult; callsPendingUntil is when no call of an earlier
 	// designation can take effect any more.
 	pendingServer     string
@@ -533,7 +535,7 @@
 	a := &s.attempt
 	a.call.Token, a.pendingServer = e.Token, e.PendingServer
 	s.phase = phaseAcknowledge
-	m.emit(Acknowledge{Database: e.Database, OldPrimary: a.replacedServer(), Term: a.term, Designation: a.designation()})
+	m.emit(m.acknowledge(a))
 }
 
 // designation returns the designation that the attempt has recorded.
@@ -550,10 +552,23 @@
 }
 
 func (m *Machine) handleAcknowledged(e Acknowledged) {
-	s, _ := m.groupInPhase(e.Database, phaseAcknowledge)
+	s := m.groups[e.Database]
 	if s == nil || s.attempt.call.Token != e.Token {
 		return
 	}
+	switch s.phase {
+	case phaseAcknowledge:
+		if s, _ = m.groupInPhase(e.Database, phaseAcknowledge); s != nil {
+			m.beginWait(s, e)
+		}
+	case phaseWaiting:
+		m.shortenWait(s, e)
+	}
+}
+
+// beginWait makes the promotion call, or waits until silent VMs may no longer use the old
+// primary and earlier calls can no longer take effect.
+func (m *Machine) beginWait(s *groupState, e Acknowledged) {
 	a := &s.attempt
 	safeAt := m.awaitPendingCalls(a, e.SafeAt)
 	wait := safeAt > m.now && !(e.SteppedDown && a.stepDownSuffices)
@@ -565,6 +580,21 @@
 	}
 	s.phase = phaseWaiting
 	a.safeAt, a.nextStepDown = safeAt, m.now
+	a.nextAsk, a.asking = m.now+m.options.AskAgainInterval, false
+}
+
+// shortenWait applies the answers of VMs that were asked again. What was safe before remains
+// safe.
+func (m *Machine) shortenWait(s *groupState, e Acknowledged) {
+	a := &s.attempt
+	a.nextAsk, a.asking = m.now+m.options.AskAgainInterval, false
+	pendingUntil := a.callsPendingUntil
+	a.safeAt = min(a.safeAt, m.awaitPendingCalls(a, e.SafeAt))
+	a.callsPendingUntil = min(a.callsPendingUntil, pendingUntil)
+	if a.safeAt <= m.now || e.SteppedDown && a.stepDownSuffices {
+		m.log("promotion_wait_ended", "database", e.Database, "silent", e.Silent, "old_primary", a.oldPrimary)
+		m.promote(s)
+	}
 }
 
 // awaitPendingCalls returns when the promotion call may be sent. Calls of the designations
@@ -588,9 +618,8 @@
 	switch {
 	case s.phase == phaseWaiting && m.now >= a.safeAt:
 		m.promote(s)
-	case s.phase == phaseWaiting && a.stepDownSuffices && m.now >= a.nextStepDown:
-		a.nextStepDown = m.now + m.options.StepDownInterval
-		m.stepDown(StepDown{Database: g.Database, Server: a.oldPrimary, Term: a.term})
+	case s.phase == phaseWaiting:
+		m.continueWait(g, a)
 	case s.phase == phasePromotionRetry && g.Primary == a.call.Server && g.Designation.Token == a.call.Token:
 		m.completePromotion(s) // an unanswered call has taken effect
 	case s.phase == phasePromotionRetry && m.now >= s.nextStep:
@@ -598,6 +627,23 @@
 	}
 }
 
+// continueWait repeats what may end the wait of an attempt early.
+func (m *Machine) continueWait(g *topology.Group, a *attempt) {
+	if a.stepDownSuffices && m.now >= a.nextStepDown {
+		a.nextStepDown = m.now + m.options.StepDownInterval
+		m.stepDown(StepDown{Database: g.Database, Server: a.oldPrimary, Term: a.term})
+	}
+	if !a.asking && m.now >= a.nextAsk {
+		a.asking = true
+		m.emit(m.acknowledge(a))
+	}
+}
+
+// acknowledge returns the effect that asks all VMs to acknowledge an attempt's designation.
+func (m *Machine) acknowledge(a *attempt) Acknowledge {
+	return Acknowledge{Database: a.call.Database, OldPrimary: a.replacedServer(), Term: a.term, Designation: a.designation()}
+}
+
 func (m *Machine) promote(s *groupState) {
 	s.phase = phasePromotion
 	m.emit(Promote{Call: s.attempt.call})
--- a/internal/promotion/machine_test.go
+++ b/internal/promotion/machine_test.go
@@ -140,6 +140,67 @@
 	g.Expect(tr.takeEffects()).To(ContainElement(Promote{Call: call}))
 }
 
+// A promotion sat out its wait although the VMs that had been silent, behind a partition, had
+// been answering for seconds.
+func TestWaitEndsWhenSilentVMsHaveAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	call := tr.claim("s3")
+	asked := Acknowledge{}
+	for _, e := range tr.takeEffects() {
+		if a, ok := e.(Acknowledge); ok {
+			asked = a
+		}
+	}
+	safeAt := tr.now + time.Minute
+	tr.post(Acknowledged{Database: "orders", Token: 77, Silent: []string{"b", "c"}, SafeAt: safeAt})
+	tr.takeEffects()
+	interval := DefaultOptions().AskAgainInterval
+	tr.tick(interval)
+	g.Expect(tr.takeEffects()).To(ContainElement(asked))
+	tr.tick(interval)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(asked), "one request at a time")
+	tr.post(Acknowledged{Database: "orders", Token: 77, Silent: []string{"c"}, SafeAt: safeAt + time.Minute})
+	g.Expect(tr.takeEffects()).To(BeEmpty())
+	tr.tick(interval)
+	g.Expect(tr.takeEffects()).To(ContainElement(asked))
+	tr.post(Acknowledged{Database: "orders", Token: 70})
+	g.Expect(tr.takeEffects()).To(BeEmpty(), "an answer to another designation")
+	tr.post(Acknowledged{Database: "orders", Token: 77})
+	g.Expect(tr.takeEffects()).To(Equal([]reducer.Effect{Promote{Call: call}}))
+}
+
+// Asking again neither extends a wait nor ends it before earlier calls have ended.
+func TestAskingAgainKeepsWaitForPendingCalls(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTrace()
+	tr.elect("s3")
+	tr.post(ClaimResult{Database: "orders", Token: 77, PendingServer: "s2"})
+	tr.post(Acknowledged{Database: "orders", Token: 77, Silent: []string{"c"}, SafeAt: tr.now + time.Second})
+	end := tr.now + time.Second + DefaultOptions().LateCallLimit
+	for tr.now < end-500*time.Millisecond {
+		tr.tick(500 * time.Millisecond)
+		if tr.machine.groups["orders"].attempt.asking {
+			tr.post(Acknowledged{Database: "orders", Token: 77, Silent: []string{"c"}, SafeAt: tr.now + time.Second})
+		}
+		g.Expect(tr.takeEffects()).NotTo(ContainElement(BeAssignableToTypeOf(Promote{})))
+	}
+	tr.tick(500 * time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(Promote{})))
+	// All VMs acknowledge: calls may take effect for LateCallLimit from then on.
+	tr = newTrace()
+	tr.elect("s3")
+	tr.post(ClaimResult{Database: "orders", Token: 77, PendingServer: "s2"})
+	tr.post(Acknowledged{Database: "orders", Token: 77, Silent: []string{"c"}, SafeAt: tr.now + time.Minute})
+	tr.tick(2 * time.Second)
+	tr.post(Acknowledged{Database: "orders", Token: 77})
+	tr.takeEffects()
+	tr.tick(DefaultOptions().LateCallLimit - time.Millisecond)
+	g.Expect(tr.takeEffects()).NotTo(ContainElement(BeAssignableToTypeOf(Promote{})))
+	tr.tick(time.Millisecond)
+	g.Expect(tr.takeEffects()).To(ContainElement(BeAssignableToTypeOf(Promote{})))
+}
+
 // Once the old primary has confirmed that it is a replica, nobody can write to it.
 func TestStepDownEndsWait(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -152,6 +152,9 @@
 	// HolderLimit is how long the VM that made the last claim remains responsible for a
 	// group without a primary. It covers the longest wait of a promotion by a majority.
 	HolderLimit time.Duration
+	// AskAgainInterval is the time between two requests to acknowledge a designation while a
+	// promotion waits for silent VMs.
+	AskAgainInterval time.Duration
 	// StepDownInterval is the time between two attempts to make a replaced primary a
 	// replica, StepDownLimit how long they continue after the promotion.
 	StepDownInterval time.Duration
@@ -184,6 +187,7 @@
 		PromotionGrace:     2500 * time.Millisecond,
 		RetryDelay:         200 * time.Millisecond,
 		HolderLimit:        5 * time.Second,
+		AskAgainInterval:   time.Second,
 		StepDownInterval:   500 * time.Millisecond,
 		StepDownLimit:      30 * time.Second,
 		LateCallLimit:      8 * time.Second,
@@ -309,7 +313,7 @@
 // EffectName implements reducer.Effect.
 func (Acknowledge) EffectName() string { return "acknowledge" }
 
-// Acknowledged reports which VMs have acknowledged a designation. The promotion call is
+// Acknowledged reports which VMs have acknowledged a designation so far. The promotion call is
 // safe from SafeAt on, or at once if SteppedDown.
 type Acknowledged struct {
 	Database    string
