Do not wait for the rest of a message after a rollback at a stop

A stopping VM would wait to the end of its grace period for a caller that had sent a part of a message when its transaction was rolled back, and then cut it off.

Evidence: TestStopDoesNotWaitForRestOfMessageAfterRollback fails without the change.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -190,10 +190,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.engine.draining() && s.state == statement.Failed {
+		return s.conn.SetReadDeadline(time.Now().Add(failedTransactionWait)) == nil
+	}
 	if s.engine.draining() && !s.conn.Buffered() {
-		if s.state == statement.Failed {
-			return s.conn.SetReadDeadline(time.Now().Add(failedTransactionWait)) == nil
-		}
 		if s.receivedStatement {
 			return false
 		}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -624,6 +624,29 @@
 	}
 }
 
+// deadlineConn records the read deadline; a part of a message has been received.
+type deadlineConn struct {
+	Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) Buffered() bool                     { return true }
+func (c *deadlineConn) SetReadDeadline(at time.Time) error { c.deadline = at; return nil }
+
+// A stopping VM waited to the end of its grace period for the rest of a message that a caller
+// had begun when its transaction was rolled back.
+func TestStopDoesNotWaitForRestOfMessageAfterRollback(t *testing.T) {
+	f := newFixture(t, "own")
+	c := &deadlineConn{}
+	f.session.conn = c
+	f.handle("b", statement.Begin)
+	f.engine.drainStarted.Store(true)
+	f.engine.EndTransactions()
+	f.session.abort()
+	f.g.Expect(f.session.prepareRead()).To(BeTrue())
+	f.g.Expect(c.deadline.IsZero()).To(BeFalse())
+}
+
 // stuckConn is a scriptConn whose caller reads no reply until it is released.
 type stuckConn struct {
 	scriptConn
