--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -204,6 +204,33 @@
 	f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "20s", "100ms").Should(BeEmpty())
 }
 
+// The home of the primary is cut off from the other VMs only: it goes on as the home, while
+// another VM stands in for it. Meanwhile the primary is replaced as planned, by either of them.
+func TestStandInBesideLivingHomeAcknowledgesNothingLate(t *testing.T) {
+	f := newPartitionedFleet(t)
+	stop := make(chan struct{})
+	writers := f.runWriters([]int{0, 1, 2}, "shop", stop)
+	time.Sleep(200 * time.Millisecond)
+	f.links.setCut(f.vms[0].settings.Address, true)
+	f.g.Eventually(func() []byte { return append(f.vms[1].log.snapshot(), f.vms[2].log.snapshot()...) }, "20s", "20ms").
+		Should(ContainSubstring("event=server_taken vm=vm-b server=s-a"))
+	for range 2 {
+		replaced := f.group.Primary()
+		f.registerServer(zoneOf(replaced), "draining")
+		f.g.Eventually(f.group.Primary, "40s", "20ms").ShouldNot(Equal(replaced))
+		f.registerServers()
+	}
+	for i := range f.vms {
+		c := f.session(i, "shop")
+		f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "20s", "20ms").Should(BeEmpty())
+	}
+	f.links.setCut(f.vms[0].settings.Address, false)
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	f.expectNoneAcknowledgedAfterPromotion(writers())
+	f.expectTokensRise()
+}
+
 func zoneOf(server string) string { return strings.TrimPrefix(server, "s-") }
 
 // Where the VM behind the cut is connected to the others, it makes the old primary step
