Tell open transactions that a gateway's drain has timed out

Callers would see (PostgreSQL product): the end of the connection without an error, for a transaction that waits for its caller when the drain times out.

Change: at the time-out, sessions that wait for their caller get 57P01 and roll back; the proxy gives them up to a second, of the five that it has to stop its components.

Evidence: TestDrainTimeoutIsReportedToOpenTransactions fails before (EOF). TestDrain*, five times in each of twelve processes at once with the race detector: passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,8 @@
 	backendPool sync.Pool // of *pooledBackend
 	waiting     atomic.Int64
 	draining    atomic.Bool
-	instanceID  string // random ID of this process, a prefix of request IDs
+	drainEnded  atomic.Bool // the drain timed out: open transactions end
+	instanceID  string      // random ID of this process, a prefix of request IDs
 	context     context.Context
 	stop        context.CancelFunc
 
@@ -179,8 +180,9 @@
 
 // Drain ends idle sessions with an error that tells the caller to reconnect to
 // another proxy, lets requests and transactions in progress finish, and returns
-// when no session is left or ctx ends. New connections are rejected during the
-// drain; the listeners close at its end. Errors are *DrainError.
+// when no session is left or, after a last notice to open transactions, when ctx has
+// ended. New connections are rejected during the drain; the listeners close at its
+// end. Errors are *DrainError.
 func (g *Gateway) Drain(ctx context.Context) error {
 	startedAt := time.Now()
 	g.mu.Lock()
@@ -198,12 +200,32 @@
 	case <-g.drained:
 	case <-ctx.Done():
 		err = &DrainError{Sessions: g.sessionCount(), Waited: time.Since(startedAt), Cause: ctx.Err()}
+		g.endOpenTransactions()
 	}
 	g.closeListeners()
 	g.deps.Log.Info("drain_ended", "sessions", g.sessionCount(), "waited", time.Since(startedAt))
 	return err
 }
 
+// endNoticeTime is how long sessions may take to tell their callers that a drain has timed
+// out.
+const endNoticeTime = time.Second
+
+// endOpenTransactions ends the sessions whose transaction waits for its caller, with an
+// error. Those that run a request are cut off by Close.
+func (g *Gateway) endOpenTransactions() {
+	g.drainEnded.Store(true)
+	g.mu.Lock()
+	for _, s := range g.sessions {
+		s.conn.interruptRead()
+	}
+	g.mu.Unlock()
+	select {
+	case <-g.drained:
+	case <-time.After(endNoticeTime):
+	}
+}
+
 // Close closes the listeners and all connections immediately.
 func (g *Gateway) Close() {
 	g.stop()
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -117,6 +117,9 @@
 		if s.gateway.draining.Load() && s.drainDeadline.IsZero() {
 			s.setDrainDeadline()
 		}
+		if s.gateway.drainEnded.Load() { // set before the read is interrupted
+			return errDraining
+		}
 		err := s.conn.waitForInput()
 		if err == nil {
 			s.clearDrainDeadline()
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -418,6 +418,25 @@
 	f.Expect(f.home.openLanes.Load()).To(BeZero(), "the transaction is rolled back")
 }
 
+// A transaction that was open at the end of a drain's time-out ended with its connection,
+// without an error.
+func TestDrainTimeoutIsReportedToOpenTransactions(t *testing.T) {
+	f := newFixture(t)
+	c := f.dialRaw()
+	c.query("BEGIN")
+	c.query("INSERT INTO kv (key, value) VALUES ('a', '1')")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	f.Expect(f.gateway.Drain(ctx)).To(BeAssignableToTypeOf(&DrainError{}))
+	f.gateway.Close()
+	f.Expect(c.conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	response := make([]byte, 1<<10)
+	n, err := c.conn.Read(response)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(sqlstatesIn(response[:n])).To(Equal([]string{"57P01"}))
+	f.Eventually(f.home.openLanes.Load, "10s").Should(BeZero(), "the transaction is rolled back")
+}
+
 // TestHomeReportsOutcomeAfterDeadline has the home respond shortly after the deadline. The
 // gateway must wait for the outcome that the home reports instead of reporting the
 // request as unknown.
