--- a/internal/e2e/silence/silence_test.go
+++ b/internal/e2e/silence/silence_test.go
@@ -31,7 +31,7 @@
 	binary := filepath.Join(t.TempDir(), "egretroad")
 	out, err := exec.Command("go", "build", "-o", binary, "egretroad/cmd/egretroad").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	fleet, err := platformfleet.Start(context.Background(), binary, t.TempDir(), vmsEach)
+	fleet, err := platformfleet.Start(context.Background(), binary, t.TempDir(), platformfleet.Options{VMsEach: vmsEach})
 	defer fleet.Stop()
 	g.Expect(err).NotTo(HaveOccurred())
 	random := rand.New(rand.NewPCG(seed, 0))
--- a/internal/standin/platformfleet/fleet.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,7 @@
 	store  *metastore.Store
 	facade *httptest.Server
 	group  *linegroup.Group
+	writes atomic.Uint64 // number of the servers' writes of their entries
 
 	mu      sync.Mutex // guards the fields below
 	version int
@@ -86,10 +88,17 @@
 
 func zoneName(i int) string { return string(rune('a' + i)) }
 
-// Start starts a fleet of vmsEach VMs in each of three data centres and waits until all are
-// ready. Settings and logs of the processes go to dir. The caller must call Stop, also after
-// an error.
-func Start(ctx context.Context, binary, dir string, vmsEach int) (*Fleet, error) {
+// Options describe a fleet.
+type Options struct {
+	VMsEach int // VMs in each of three data centres
+	// KeepsOldPrimary makes the platform neither stop a replaced primary nor refuse a low
+	// fencing token.
+	KeepsOldPrimary bool
+}
+
+// Start starts a fleet and waits until all VMs are ready. Settings and logs of the processes
+// go to dir. The caller must call Stop, also after an error.
+func Start(ctx context.Context, binary, dir string, o Options) (*Fleet, error) {
 	f := &Fleet{binary: binary, dir: dir, Links: newLinks()}
 	var err error
 	if f.store, err = metastore.New(); err != nil {
@@ -103,10 +112,14 @@
 	if f.group, err = linegroup.New(serviceName, "s-a", "s-b", "s-c"); err != nil {
 		return f, err
 	}
+	if o.KeepsOldPrimary {
+		f.group.KeepsOldPrimary = true
+		f.store.AcceptStaleTokens()
+	}
 	f.store.Promote = func(_, server string) bool { return f.group.Promote(server) && f.registerServers() }
 	f.registerServers()
 	f.AddRoute("first")
-	for i := range dataCentres * vmsEach {
+	for i := range dataCentres * o.VMsEach {
 		if err := f.add(i); err != nil {
 			return f, err
 		}
@@ -123,21 +136,29 @@
 	return f, nil
 }
 
+// Group returns the group of servers.
+func (f *Fleet) Group() *linegroup.Group { return f.group }
+
 // registerServers writes the servers' entries. It always reports true.
 func (f *Fleet) registerServers() bool {
 	for i := range dataCentres {
-		id, role := "s-"+zoneName(i), "replica"
-		if f.group.Server(id).IsPrimary() {
-			role = "primary"
-		}
-		f.store.Put("servers", id, map[string]any{
-			"service": serviceName, "address": f.group.Server(id).Addr(), "zone": zoneName(i), "version": "v1", "slots": 2,
-			"state": "ready", "cold-left-ms": 0, "db-role": role, "seq": 1, "born": 1,
-		})
+		f.RegisterServer("s-"+zoneName(i), "ready")
 	}
 	return true
 }
 
+// RegisterServer writes a server's entry with its role and the given state.
+func (f *Fleet) RegisterServer(id, state string) {
+	role := "replica"
+	if f.group.Server(id).IsPrimary() {
+		role = "primary"
+	}
+	f.store.Put("servers", id, map[string]any{
+		"service": serviceName, "address": f.group.Server(id).Addr(), "zone": strings.TrimPrefix(id, "s-"), "version": "v1", "slots": 2,
+		"state": state, "cold-left-ms": 0, "db-role": role, "seq": f.writes.Add(1), "born": 1,
+	})
+}
+
 // AddRoute adds a route as the operator does and returns when the store acknowledged it.
 func (f *Fleet) AddRoute(host string) time.Time {
 	f.mu.Lock()
--- a/tools/measure/silence/silence.go
+++ b/tools/measure/silence/silence.go
@@ -95,7 +95,7 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }() // best effort: it is a temporary directory
 	}
-	fleet, err := platformfleet.Start(ctx, env.Binary, dir, vmsEach)
+	fleet, err := platformfleet.Start(ctx, env.Binary, dir, platformfleet.Options{VMsEach: vmsEach})
 	defer fleet.Stop()
 	if err != nil {
 		return nil, err
