Let two tests not depend on load

- TestLeavingServerRefusesNewWork: a data race of the test, which changed a server in the list that it had published, and copied the list afterwards.
The manager read it at that moment.
It copies the list first now.
- TestCheckersFindBrokenRules/unconfirmed_acknowledged: the checkers did not report the lost write.
The assertions are the same.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -314,8 +314,8 @@
 	first := h.request("s2", "t1", "READ a")
 	first.Begin = statement.BeginRead
 	h.g.Expect(h.run(first).Outcome).To(Equal(broker.Ran))
+	h.servers = append([]topology.Server(nil), h.servers...) // the published ones must not change
 	h.servers[1].State = topology.ServerLeaving
-	h.servers = append([]topology.Server(nil), h.servers...)
 	h.publisher.Publish(h.snapshot("s1"))
 	h.g.Eventually(func() outcome.Reason { return h.run(h.request("s2", "r1", "READ a")).Reason }, "2s", "10ms").
 		Should(Equal(outcome.ReasonLeaving))
--- a/internal/e2e/broken_test.go
+++ b/internal/e2e/broken_test.go
@@ -197,7 +197,7 @@
 		// IDs of the servers that lag applies to
 		laggingServers []string
 		duration       time.Duration
-		injectFault    func(*fleet)
+		injectFault    func(context.Context, *fleet)
 		wantRule       history.Rule
 	}{
 		"reads on any replica": {
@@ -213,7 +213,14 @@
 			hooks: proxy.Hooks{Authority: func(a txn.Authority) txn.Authority { return alwaysConfirm{a} }},
 			lag:   time.Hour, laggingServers: []string{"orders1-b", "orders1-c"},
 			duration: failoverDuration, wantRule: history.RuleNoLostWrite,
-			injectFault: func(f *fleet) { f.Groups["orders1"].Primary().Stop() },
+			injectFault: func(ctx context.Context, f *fleet) {
+				// The writes that are lost must have been acknowledged before.
+				primary := f.Groups["orders1"].Primary()
+				for before := len(primary.Commits()); len(primary.Commits()) < before+commitsToLose && ctx.Err() == nil; {
+					time.Sleep(10 * time.Millisecond)
+				}
+				primary.Stop()
+			},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -228,10 +235,10 @@
 					f.Server(id).SetLag(c.lag)
 				}
 				duration := max(c.duration, *durationFlag)
-				w, violations := f.runWorkload(o, duration, func(context.Context, *rand.Rand) {
+				w, violations := f.runWorkload(o, duration, func(ctx context.Context, _ *rand.Rand) {
 					if c.injectFault != nil {
 						time.Sleep(duration / 10)
-						c.injectFault(f)
+						c.injectFault(ctx, f)
 					}
 				})
 				t.Logf("ok %d, not run %d, failed %d, unknown %d", w.Counts().OK.Load(), w.Counts().NotRun.Load(),
@@ -250,6 +257,9 @@
 }
 
 const (
+	// commitsToLose is the number of commits after which a primary is stopped: more than there
+	// are callers, so that some of them have been acknowledged.
+	commitsToLose = 20
 	// enoughOperations is the number of operations in which each fault must show.
 	enoughOperations = 200
 	// maxAttempts bounds the runs of a variant on a busy machine.
