--- a/internal/node/primacy_test.go
+++ b/internal/node/primacy_test.go
@@ -204,6 +204,22 @@
 	f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "20s", "100ms").Should(BeEmpty())
 }
 
+// As above, after the promotion of the designated server has ended and all VMs know it.
+func TestServerPromotedWithoutDesignationAfterAnnouncementIsUsed(t *testing.T) {
+	f := newFleet(t)
+	replaced := f.group.Primary()
+	f.registerServer(zoneOf(replaced), "draining")
+	f.g.Eventually(f.group.Primary, "20s", "20ms").ShouldNot(Equal(replaced))
+	f.registerServers()
+	for _, v := range f.vms {
+		f.g.Eventually(v.log.snapshot, "20s", "20ms").Should(ContainSubstring("calls_ended=true"))
+	}
+	f.g.Expect(f.group.Promote(replaced)).To(BeTrue())
+	f.registerServers()
+	c := f.session(1, "shop")
+	f.g.Eventually(func() string { return c.do("after", "WRITE lamp after").code }, "20s", "100ms").Should(BeEmpty())
+}
+
 // The home of the primary is cut off from the other VMs only: it goes on as the home, while
 // another VM stands in for it. Meanwhile the primary is replaced as planned, by either of them.
 func TestStandInBesideLivingHomeAcknowledgesNothingLate(t *testing.T) {
