Revert "Remember pending calls of all earlier designations"

A play with its logs shows the same: after a partition, the promotion of the last designation waited 8 s for calls of two earlier ones, which their holders had given up without making a call; on it was called at once.

The record does not tell whether, or until when, a call of an earlier designation can be sent, so each one that was given up cost 8 s. Nothing else is changed; silent VMs are still asked again during a wait.

--- a/internal/promotion/machine.go
+++ b/internal/promotion/machine.go
@@ -54,8 +54,8 @@
 	nextAsk      time.Duration // when silent VMs are asked again
 	asking       bool          // they are being asked
 	unanswered   bool          // a call of this attempt has had no answer
-	// pendingServer is that of ClaimResult; callsPendingUntil is when no call of an earlier
-	// designation can take effect any more.
+	// pendingServer is the server of the designation before if calls for it may still take
+	// effect; callsPendingUntil is when they have ended, where they name the same server.
 	pendingServer     string
 	callsPendingUntil time.Duration
 	// stepDownSuffices is set if no VM can use any other server than oldPrimary.
@@ -597,7 +597,7 @@
 	}
 }
 
-// awaitPendingCalls returns when the promotion call may be sent. Calls of the designations
+// awaitPendingCalls returns when the promotion call may be sent. Calls of the designation
 // before may be sent until safeAt, and take effect until LateCallLimit later: they must not
 // follow a call for another server.
 func (m *Machine) awaitPendingCalls(a *attempt, safeAt time.Duration) time.Duration {
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"egretroad/internal/platform"
@@ -68,28 +67,6 @@
 	Received topology.Mark `json:"received"`
 	// CallsEnded is that of the designation. A record with it names its token.
 	CallsEnded bool `json:"callsEnded,omitempty"`
-	// Pending are the servers of earlier designations whose calls had not ended when this one
-	// was recorded.
-	Pending []string `json:"pending,omitempty"`
-}
-
-// UnknownServer stands for servers of earlier designations that a record does not name.
-const UnknownServer = "?"
-
-// PendingServers returns the servers for which calls may still take effect while the duty is
-// the last one recorded. A designation that was written again after the store had lost it
-// does not tell those of earlier ones.
-func (d Duty) PendingServers() []string {
-	if d.CallsEnded {
-		return nil
-	}
-	servers := append([]string{d.Server}, d.Pending...)
-	if d.Token != 0 {
-		servers = append(servers, UnknownServer)
-	}
-	slices.Sort(servers)
-	servers = slices.Compact(servers)
-	return slices.DeleteFunc(servers, func(server string) bool { return server == "" }) // an earlier version's record
 }
 
 // Designation returns the designation that a duty with the given version records. Its
@@ -293,8 +270,8 @@
 	Database string
 	Token    uint64
 	Err      error
-	// PendingServer is a server of an earlier designation for which calls may still take
-	// effect, if possible another one than the claim designates; empty: none.
+	// PendingServer is the server of the designation before if calls for it may still take
+	// effect; empty: none.
 	PendingServer string
 }
 
--- a/internal/promotion/run/calls.go
+++ b/internal/promotion/run/calls.go
@@ -30,7 +30,7 @@
 		x.deps.Log.Info("calls_ended_of_earlier_designation", "database", e.Database, "token", e.Designation.Token, "version", current.Version)
 		return nil
 	}
-	duty.Token, duty.CallsEnded, duty.Pending = e.Designation.Token, true, nil
+	duty.Token, duty.CallsEnded = e.Designation.Token, true
 	value, err := json.Marshal(duty)
 	if err != nil {
 		return &platform.InvalidValueError{Kind: platform.KindDuty, Name: e.Database, Cause: err}
--- a/internal/promotion/run/claim.go
+++ b/internal/promotion/run/claim.go
@@ -74,6 +74,10 @@
 func (x *Executor) writeClaim(ctx context.Context, r claimRequest) (claimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	value, err := json.Marshal(r.Duty)
+	if err != nil {
+		return claimResponse{}, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: err}
+	}
 	current, err := x.deps.Store.Get(ctx, platform.KindDuty, r.Database)
 	var missing *platform.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
@@ -81,19 +85,14 @@
 	}
 	var response claimResponse
 	if current.Version != 0 {
-		last, d, err := x.recordStored(r.Database, current)
+		d, err := x.recordStored(r.Database, current)
 		if r.Known != 0 && (err != nil || d.Token > r.Known) {
 			return claimResponse{}, &platform.ConflictError{Kind: platform.KindDuty, Name: r.Database, Current: current}
 		}
-		if err == nil && d.Token != r.Ended {
-			r.Duty.Pending = last.PendingServers()
-			response.PendingServer = pendingServer(r.Duty)
+		if !d.CallsEnded && d.Token != r.Ended {
+			response.PendingServer = d.Server
 		}
 	}
-	value, err := json.Marshal(r.Duty)
-	if err != nil {
-		return claimResponse{}, &platform.InvalidValueError{Kind: platform.KindDuty, Name: r.Database, Cause: err}
-	}
 	o, err := platform.PutWithRetry(ctx, x.deps.Store, platform.KindDuty, r.Database, current.Version, value, platform.SameValue(value))
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
@@ -109,30 +108,16 @@
 	return response, nil
 }
 
-// pendingServer returns a server for which calls of earlier designations may still take
-// effect, if possible another one than the designated server; empty: none.
-func pendingServer(d promotion.Duty) string {
-	for _, server := range d.Pending {
-		if server != d.Server {
-			return server
-		}
-	}
-	if len(d.Pending) > 0 {
-		return d.Server
-	}
-	return ""
-}
-
 // recordStored records the designation in a stored record.
-func (x *Executor) recordStored(database string, o platform.Object) (promotion.Duty, topology.Designation, error) {
+func (x *Executor) recordStored(database string, o platform.Object) (topology.Designation, error) {
 	var duty promotion.Duty
 	if err := json.Unmarshal(o.Value, &duty); err != nil {
 		x.deps.Log.Warn("conflicting_claim_unreadable", "database", database, "version", o.Version, "error", err)
-		return duty, topology.Designation{}, err
+		return topology.Designation{}, err
 	}
 	d := duty.Designation(o.Version)
 	x.deps.Primacy.Record(database, d)
-	return duty, d, nil
+	return d, nil
 }
 
 // resolveConflict returns the conflicting object if it is the claim itself, written by an
@@ -142,7 +127,7 @@
 		return conflict.Current, nil
 	}
 	if conflict.Current.Version != 0 {
-		_, _, _ = x.recordStored(database, conflict.Current) // its error is logged; the conflict is returned
+		_, _ = x.recordStored(database, conflict.Current) // its error is logged; the conflict is returned
 	}
 	return platform.Object{}, conflict
 }
