Tell whether a VM follows the store, and which kinds it lists

Callers of some VMs were served by an old configuration, and neither logs nor metrics told whether these VMs had ever listed the store, which kinds their watch covered, or that no answer had come since the start: contact_age and control_watch_age_seconds showed the age of the machine for "never".

- "never" is told from an age.

The simulated store watches kinds apart from their last list only, as the platform's client does; before, it reported changes of kinds never listed.

--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -17,7 +17,9 @@
 	InForce     uint64            `json:"inForce"`
 	Watcher     string            `json:"watcher"`    // first VM to watch the platform's store for this data centre
 	Watching    bool              `json:"watching"`   // this VM watches the store
-	WatchAgeMS  int64             `json:"watchAgeMs"` // time since the store last answered the watch on which this VM depends
+	WatchAgeMS  int64             `json:"watchAgeMs"` // time since the store last answered the watch on which this VM depends; -1: never
+	Listed      []string          `json:"listed"`     // kinds that the store has listed to this VM, which its watch covers
+	Answered    map[string]string `json:"answered"`   // by kind; time since the store last answered this VM, or "never"
 	Store       string            `json:"store"`      // "ok" or the last error
 	Waiting     []string          `json:"waiting"`    // pending work and what it waits for
 	Objects     []ObjectDump      `json:"objects"`
@@ -61,7 +63,9 @@
 		InForce:     m.inForceRevision(),
 		Watcher:     m.ring.watcher(),
 		Watching:    m.watch.watching,
-		WatchAgeMS:  milliseconds(m.now - m.watchContact()),
+		WatchAgeMS:  m.watchAgeMS(),
+		Listed:      m.listedKinds(),
+		Answered:    m.answerAges(),
 		Store:       m.store.describe(),
 		Waiting:     m.pendingWaits(),
 		Objects:     m.dumpObjects(),
@@ -70,6 +74,14 @@
 	}
 }
 
+func (m *Machine) watchAgeMS() int64 {
+	contact := m.watchContact()
+	if contact == 0 {
+		return -1
+	}
+	return milliseconds(m.now - contact)
+}
+
 func (m *Machine) pendingWaits() []string {
 	waiting := []string{}
 	if !m.Ready() {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -36,6 +36,7 @@
 	timers        timers
 	store         storeState
 	watch         watchState
+	follow        followState
 	document      documentState
 	sync          syncState
 	status        statusState
@@ -53,6 +54,7 @@
 		completeFrom:  map[string]string{},
 		members:       newMemberTable(),
 		self:          selfState{incarnation: cfg.Incarnation},
+		store:         storeState{listed: map[string]bool{}},
 		watch:         newWatchState(),
 		document:      newDocumentState(),
 		sync:          newSyncState(),
@@ -137,6 +139,7 @@
 	m.dropLapsedServers()
 	m.endRefutedClaims()
 	m.detectSilentDataCentres()
+	m.reportFollowing()
 }
 
 // start reads the store and fetches copies from seed VMs in parallel. The machine
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -64,6 +64,9 @@
 	// of its data centre watches as well: the store may refuse the watcher, or not respond
 	// to it. It is longer than SharedWatchTimeout and the response time of a slow store.
 	WatchContactLimit time.Duration
+	// FollowLimit is the age of the last response to a watch on which this VM depends after
+	// which it raises an alarm. Its callers may be served by an old configuration.
+	FollowLimit time.Duration
 	// TakeoverStep is the delay between the VMs of a data centre that take over its watch,
 	// so that the first success keeps the others from calling the store. MaxTakeoverDelay
 	// bounds the delay of the last one.
@@ -111,6 +114,7 @@
 		MaxBackoff:         5 * time.Second,
 		SharedWatchTimeout: time.Second,
 		WatchContactLimit:  2 * time.Second,
+		FollowLimit:        5 * time.Second,
 		TakeoverStep:       50 * time.Millisecond,
 		MaxTakeoverDelay:   500 * time.Millisecond,
 		MinContactInterval: 500 * time.Millisecond,
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -50,6 +50,7 @@
 	revision     *expvar.Int  // highest revision in the snapshot
 	vms          *expvar.Int  // VMs in the snapshot
 	watching     *expvar.Int  // 1: this VM watches the store
+	kindsListed  *expvar.Int  // kinds of objects that a watch of this VM covers
 	awaitsRejoin *expvar.Int  // 1: the other VMs hold this one for dead
 	contact      atomic.Int64 // time up to which the store's changes have been read, on CLOCK_BOOTTIME; 0: never
 }
@@ -74,10 +75,12 @@
 		revision:       d.Metrics.Int("control", "revision"),
 		vms:            d.Metrics.Int("control", "vms"),
 		watching:       d.Metrics.Int("control", "watching"),
+		kindsListed:    d.Metrics.Int("control", "kinds_listed"),
 		awaitsRejoin:   d.Metrics.Int("control", "awaits_rejoin"),
 	}
-	d.Metrics.Gauge("control_watch_age_seconds", "Time since the store last answered the watch on which this VM depends.", func() float64 {
-		return (clock.Boottime() - time.Duration(x.contact.Load())).Seconds()
+	started := clock.Boottime()
+	d.Metrics.Gauge("control_watch_age_seconds", "Time since the store last answered the watch on which this VM depends, or since the start if it never has.", func() float64 {
+		return (clock.Boottime() - max(time.Duration(x.contact.Load()), started)).Seconds()
 	})
 	return x
 }
@@ -181,6 +184,7 @@
 func (x *executor) reportWatch(e control.WatchState) {
 	x.contact.Store(int64(e.Contact))
 	x.watching.Set(toInt(e.Watching))
+	x.kindsListed.Set(int64(e.Kinds))
 	x.awaitsRejoin.Set(toInt(e.AwaitsRejoin))
 }
 
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -265,19 +266,21 @@
 			continue
 		}
 		r := s.changes(n)
-		if len(r.Objects) > 0 || len(r.Ranges) > 0 || !s.watchApart && s.now >= n.watchEnd {
+		coversNothing := s.watchApart && len(n.cursors) == 0
+		if len(r.Objects) > 0 || len(r.Ranges) > 0 || (!s.watchApart || coversNothing) && s.now >= n.watchEnd {
 			s.endWatch(n, control.ObjectsWatched{Response: r})
 		}
 	}
 }
 
-// changes returns the changes that the watch of a node reports now.
+// changes returns the changes that the watch of a node reports now. Kinds that are watched
+// apart are watched from the last list of the kind, and not at all before it.
 func (s *sim) changes(n *node) platform.WatchResponse {
 	if !s.watchApart {
 		return s.store.changesSince(n.watch.Since)
 	}
 	r := platform.WatchResponse{Ranges: map[string]platform.RevisionRange{}}
-	for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+	for _, kind := range slices.Sorted(maps.Keys(n.cursors)) {
 		all := s.store.changesSince(n.cursors[kind])
 		changed := slices.DeleteFunc(all.Objects, func(o platform.Object) bool { return o.Kind != kind })
 		if len(changed) > 0 || s.now >= n.kindEnds[kind] {
@@ -356,7 +359,7 @@
 		s.store.calls++
 		n.watches++
 		n.watch, n.watchEnd = &e, s.now+e.Wait
-		for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+		for kind := range n.cursors {
 			if _, inFlight := n.kindEnds[kind]; !inFlight {
 				n.kindEnds[kind] = s.now + e.Wait
 			}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -28,10 +28,16 @@
 	stage           watchStage        // the next call on the way to a working watch
 	watchCancelled  bool              // the watch in flight was cancelled
 	listedRevisions map[string]uint64 // by kind; revision of the last list
+	listed          map[string]bool   // kinds that the store has listed since the start
 	epoch           uint64            // epoch of the last list; 0: none, or the store has no epochs
 	relistNeeded    bool              // the store has compacted the revision to watch from
 }
 
+// storeKinds returns the kinds of objects that VMs read from the store.
+func (m *Machine) storeKinds() []string {
+	return []string{platform.KindCatalogue, m.opts.groupKind()}
+}
+
 // describe returns the last error of a failing call, or "ok", for logs and dumps.
 func (s *storeState) describe() string {
 	for _, c := range []*storeCall{&s.catalogue, &s.groups, &s.watch, &s.vms} {
@@ -115,6 +121,8 @@
 	if e.Err != nil {
 		return
 	}
+	m.store.listed[e.Kind] = true
+	m.log("kind_listed", "kind", e.Kind, "revision", e.List.Revision, "objects", len(e.List.Objects))
 	m.recordAnswer(e.Kind)
 	m.noticeEpoch(platform.EpochOf(e.List.Revision))
 	wasReady := m.Ready()
@@ -209,7 +217,7 @@
 		return
 	}
 	m.store.stage = stageWatch
-	for _, kind := range []string{platform.KindCatalogue, m.opts.groupKind()} {
+	for _, kind := range m.storeKinds() {
 		if e.Response.Answers(kind) {
 			m.recordAnswer(kind)
 		}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -35,10 +35,13 @@
 
 // WatchState reports what a VM knows of the watch on the platform's store, for metrics.
 // Contact is when the store last answered the watch on which the VM depends, on
-// CLOCK_BOOTTIME; 0: never. AwaitsRejoin is set while the other VMs hold this one for dead.
+// CLOCK_BOOTTIME; 0: never since the start of the process. Kinds is the number of kinds of
+// objects that a watch of this VM covers, because the store has listed them to it.
+// AwaitsRejoin is set while the other VMs hold this one for dead.
 type WatchState struct {
 	Watching     bool
 	Contact      time.Duration
+	Kinds        int
 	AwaitsRejoin bool
 }
 
@@ -95,14 +98,18 @@
 	return contact
 }
 
-// hasWatchContact reports whether the store serves a watch on which this VM depends. A VM
-// that the others hold for dead depends on its own one.
-func (m *Machine) hasWatchContact() bool {
-	contact := m.watchContact()
+// requiredContact returns when the store last answered a watch that tells this VM of
+// changes; 0: never. A VM that the others hold for dead depends on its own one.
+func (m *Machine) requiredContact() time.Duration {
 	if m.awaitsRejoin() {
-		contact = m.ownContact()
+		return m.ownContact()
 	}
-	return m.now-contact <= m.opts.WatchContactLimit
+	return m.watchContact()
+}
+
+// hasWatchContact reports whether the store serves a watch on which this VM depends.
+func (m *Machine) hasWatchContact() bool {
+	return m.now-m.requiredContact() <= m.opts.WatchContactLimit
 }
 
 // watchWorksInOwnDataCentre reports whether the store serves a VM of this data centre that
@@ -130,7 +137,7 @@
 }
 
 func (m *Machine) reportWatchState() {
-	m.emit(WatchState{Watching: m.watch.watching, Contact: m.watchContact(), AwaitsRejoin: m.awaitsRejoin()})
+	m.emit(WatchState{Watching: m.watch.watching, Contact: m.watchContact(), Kinds: len(m.listedKinds()), AwaitsRejoin: m.awaitsRejoin()})
 }
 
 // announceWatchContact tells the other VMs of the data centre that they need not watch.
@@ -178,7 +185,7 @@
 		return
 	}
 	m.watch.watching = watching
-	m.log("watch_role", "watching", watching, "contact_age", m.now-m.watchContact())
+	m.log("watch_role", "watching", watching, "contact_age", m.ageOf(m.watchContact()), "listed", m.listedKinds())
 	m.reportWatchState()
 	switch {
 	case !watching && m.store.watch.inFlight && m.store.longWatch:
