--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
 
@@ -33,6 +34,23 @@
 	return s
 }
 
+// restartAll restarts all VMs in turn, some at a time, each after half a second.
+func (s *sim) restartAll(atATime int) {
+	for i, id := range s.ids {
+		s.nodes[id].up = false
+		if (i+1)%atATime != 0 && i != len(s.ids)-1 {
+			continue
+		}
+		s.advance(500 * time.Millisecond)
+		for _, stopped := range s.ids {
+			if !s.nodes[stopped].up {
+				s.start(s.nodes[stopped].vm)
+			}
+		}
+		s.advance(500 * time.Millisecond)
+	}
+}
+
 // onUsersFleets runs a test on a small and a large fleet, with a store whose failing calls
 // end at once and with one that does not respond to them.
 func onUsersFleets(t *testing.T, test func(g *WithT, s *sim)) {
@@ -86,3 +104,63 @@
 	g.Expect(dump.Listed).To(BeEmpty())
 	g.Expect(dump.Answered).To(HaveKeyWithValue("catalogue", "never"))
 }
+
+// All VMs start while the store is away and become ready with copies of each other.
+func TestChangeReachesFleetThatStartedInStoreOutage(t *testing.T) {
+	onUsersFleets(t, func(g *WithT, s *sim) {
+		s.store.down = true
+		s.restartAll(len(s.ids) / 4)
+		s.advance(2 * time.Second)
+		s.store.down = false
+		s.advance(followLimit)
+		expectChangeInForce(s, g)
+	})
+}
+
+// expectServerChangeInForce changes the group of a database and requires that it is in force
+// on every running VM within maxChangeDelay.
+func expectServerChangeInForce(s *sim, g *WithT) {
+	group := simGroup(0, 3)
+	group.Servers[0].Slots = int(s.store.revision) + 1
+	want := s.store.put(platform.KindGroup, group.Database, group)
+	s.advance(maxChangeDelay)
+	for _, id := range s.ids {
+		g.Expect(s.nodes[id].highestInForce["group/"+group.Database]).To(BeNumerically(">=", want), "on "+id)
+	}
+}
+
+// All VMs list one kind at their start and become ready with copies before they have listed
+// the other one.
+func TestChangesReachFleetThatListedOneKindAtItsStart(t *testing.T) {
+	for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+		t.Run(kind, func(t *testing.T) {
+			onUsersFleets(t, func(g *WithT, s *sim) {
+				s.kindsDown[kind] = true
+				s.restartAll(len(s.ids) / 4)
+				s.advance(2 * time.Second)
+				s.kindsDown[kind] = false
+				s.advance(followLimit)
+				expectChangeInForce(s, g)
+				expectServerChangeInForce(s, g)
+			})
+		})
+	}
+}
+
+// The store refuses the lists of one kind for good: changes of the other one still arrive.
+func TestChangesOfOneKindReachFleetWhileStoreRefusesTheOther(t *testing.T) {
+	for _, kind := range []string{platform.KindCatalogue, platform.KindGroup} {
+		t.Run(kind, func(t *testing.T) {
+			onUsersFleets(t, func(g *WithT, s *sim) {
+				s.kindsDown[kind] = true
+				s.restartAll(len(s.ids) / 4)
+				s.advance(followLimit)
+				if kind == platform.KindGroup {
+					expectChangeInForce(s, g)
+				} else {
+					expectServerChangeInForce(s, g)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -103,6 +103,7 @@
 	ids         []string
 	partitioned map[string]bool // data centres partitioned from the store and all other data centres
 	refused     map[string]bool // VMs that the store refuses
+	kindsDown   map[string]bool // kinds whose lists the store refuses
 	muted, deaf map[string]bool // VMs whose one-way messages get lost, and VMs to which they get lost
 	silent      bool            // the store's refused calls end at their time-out, not at once
 	queue       []delivery
@@ -123,7 +124,7 @@
 	s := &sim{
 		now:   time.Hour,
 		store: &fakeStore{objects: map[string]platform.Object{}},
-		nodes: map[string]*node{}, partitioned: map[string]bool{}, refused: map[string]bool{}, muted: map[string]bool{}, deaf: map[string]bool{},
+		nodes: map[string]*node{}, partitioned: map[string]bool{}, refused: map[string]bool{}, kindsDown: map[string]bool{}, muted: map[string]bool{}, deaf: map[string]bool{},
 		opts: control.DefaultOptions(), fail: fail,
 	}
 	var vms []topology.VM
@@ -343,6 +344,9 @@
 	case control.ListObjects:
 		s.storeCall(n, func(err error) reducer.Event {
 			list := s.store.list(e.Kind)
+			if s.kindsDown[e.Kind] {
+				err = &platform.UnavailableError{Call: "list"}
+			}
 			if err == nil {
 				n.cursors[e.Kind] = list.Revision
 			}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -426,6 +426,52 @@
 	f.g.Expect(c.do("w1", "WRITE lamp 1").code).To(BeEmpty())
 }
 
+// restart stops a VM and starts it again, with the other VMs as seeds.
+func (f *fleet) restart(i int) {
+	f.vms[i].stop()
+	f.vms[i].done <- <-f.vms[i].done
+	s := f.vms[i].settings
+	s.Seeds = nil
+	for k, v := range f.vms {
+		if k != i {
+			s.Seeds = append(s.Seeds, v.settings.PeerListen)
+		}
+	}
+	f.vms[i] = f.startNode(s)
+	f.awaitReady(i)
+}
+
+// expectRouteServed requires that all VMs serve the route of a host, within the users' bound.
+func (f *fleet) expectRouteServed(host string) {
+	for i := range f.vms {
+		f.g.Eventually(func() error {
+			c, err := f.dial(i, host)
+			if err == nil {
+				c.close()
+			}
+			return err
+		}, "4s", "20ms").Should(Succeed(), f.vms[i].settings.VM)
+	}
+}
+
+// All VMs start while the store is unavailable, with copies of each other, and followed it
+// never again.
+func TestChangeReachesVMsThatStartedInStoreOutage(t *testing.T) {
+	f := newFleet(t)
+	f.store.ForceStatus(503)
+	for i := range f.vms {
+		f.restart(i)
+	}
+	f.store.ForceStatus(0)
+	time.Sleep(followTime)
+	f.putConfig(2, "shop", "stock", "grants", "returns")
+	f.expectRouteServed("returns")
+}
+
+// followTime is more than the longest back-off of calls to the store, after which a VM follows
+// it again.
+const followTime = 2 * time.Second
+
 // A VM that shuts down replies to every statement that it has read and hands over its
 // homes: no write may run without a reply to its caller.
 func TestStopRepliesToEveryStatementRead(t *testing.T) {
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -90,6 +90,7 @@
 	changed           chan struct{}
 	forcedStatus      int             // response to every call; 0: normal operation
 	refusedIPs        map[string]bool // source IPs whose calls get a 503
+	refusedKinds      map[string]bool // kinds whose calls get a 503
 	responsesToDrop   int             // remaining writes whose response is dropped
 	calls             map[string]int  // by "METHOD kind"
 	fenceTokens       map[string]uint64
@@ -107,7 +108,7 @@
 	}
 	s := &Store{
 		PageSize: 3, listener: listener, era: 1, revision: 1, kinds: map[string]map[string]Object{},
-		changed: make(chan struct{}), refusedIPs: map[string]bool{}, calls: map[string]int{}, fenceTokens: map[string]uint64{},
+		changed: make(chan struct{}), refusedIPs: map[string]bool{}, refusedKinds: map[string]bool{}, calls: map[string]int{}, fenceTokens: map[string]uint64{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /objects/{kind}", s.handleList)
@@ -176,6 +177,15 @@
 	s.notifyWatches()
 }
 
+// RefuseKind starts or stops answering the calls for a kind with status 503, also the
+// watches that wait.
+func (s *Store) RefuseKind(kind string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedKinds[kind] = refused
+	s.notifyWatches()
+}
+
 // DropResponses makes the next n creates or replaces take effect without a response.
 func (s *Store) DropResponses(n int) {
 	s.mu.Lock()
@@ -303,9 +313,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ip, _, err := net.SplitHostPort(r.RemoteAddr)
 		s.mu.Lock()
-		s.calls[r.Method+" "+strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")[0]]++
+		kind := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")[0]
+		s.calls[r.Method+" "+kind]++
 		status := s.forcedStatus
-		if err == nil && s.refusedIPs[ip] {
+		if err == nil && s.refusedIPs[ip] || s.refusedKinds[kind] {
 			status = http.StatusServiceUnavailable
 		}
 		s.mu.Unlock()
@@ -352,6 +363,9 @@
 	for {
 		s.mu.Lock()
 		gone, changed, revision, status := since < s.compactedRevision || since > s.revision, s.changed, s.revision, s.forcedStatus
+		if s.refusedKinds[kind] {
+			status = http.StatusServiceUnavailable
+		}
 		s.setEra(w)
 		var events []json.RawMessage
 		for _, e := range s.history {
