List each kind of object until a watch covers it

Callers were refused routes that had been acknowledged long before, by VMs that had started in an outage of the store; with all VMs of a fleet in this state, no change was in force anywhere until the next start.

Cause: control listed the store only until the VM was ready. One that became ready with the copy of another VM, while its own lists failed, never listed again, and the store's client reported success for a watch that covered no kind. With one of two kinds listed, it covered one. The state that usually follows from taking up the watch was taken for the watch itself.

Now a kind is listed until it has been listed once, however the VM became ready, and again after a compaction. A VM that is ready probes the store while its lists fail, and one that does not watch lists instead of its next poll.

store_restored also compares with the epoch of the copy that a VM started with.

Tests that watched kinds they had not listed name what they listed.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -17,8 +17,10 @@
 // EventName implements reducer.Event.
 func (ObjectsListed) EventName() string { return "objects_listed" }
 
-// ObjectsWatched reports the result of a watch or a poll for changes.
+// ObjectsWatched reports the result of a watch or a poll for changes of some kinds; nil: of
+// all.
 type ObjectsWatched struct {
+	Kinds    []string
 	Since    uint64
 	Response platform.WatchResponse
 	Err      error
@@ -98,9 +100,10 @@
 // EffectName implements reducer.Effect.
 func (ListObjects) EffectName() string { return "list_objects" }
 
-// WatchObjects requests the changes after revision Since and waits up to Wait for
-// one. The result is ObjectsWatched.
+// WatchObjects requests the changes of some kinds after revision Since and waits up to Wait
+// for one. The result is ObjectsWatched.
 type WatchObjects struct {
+	Kinds []string
 	Since uint64
 	Wait  time.Duration
 }
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -222,8 +222,8 @@
 	x.mu.Unlock()
 	x.runAsync(func() reducer.Event {
 		defer cancel()
-		response, err := x.store.Watch(ctx, e.Since, e.Wait)
-		return control.ObjectsWatched{Since: e.Since, Response: response, Err: err}
+		response, err := x.store.Watch(ctx, e.Kinds, e.Since, e.Wait)
+		return control.ObjectsWatched{Kinds: e.Kinds, Since: e.Since, Response: response, Err: err}
 	})
 }
 
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -267,8 +266,7 @@
 			continue
 		}
 		r := s.changes(n)
-		coversNothing := s.watchApart && len(n.cursors) == 0
-		if len(r.Objects) > 0 || len(r.Ranges) > 0 || (!s.watchApart || coversNothing) && s.now >= n.watchEnd {
+		if len(r.Objects) > 0 || len(r.Ranges) > 0 || !s.watchApart && s.now >= n.watchEnd {
 			s.endWatch(n, control.ObjectsWatched{Response: r})
 		}
 	}
@@ -281,7 +279,7 @@
 		return s.store.changesSince(n.watch.Since)
 	}
 	r := platform.WatchResponse{Ranges: map[string]platform.RevisionRange{}}
-	for _, kind := range slices.Sorted(maps.Keys(n.cursors)) {
+	for _, kind := range n.watch.Kinds {
 		all := s.store.changesSince(n.cursors[kind])
 		changed := slices.DeleteFunc(all.Objects, func(o platform.Object) bool { return o.Kind != kind })
 		if len(changed) > 0 || s.now >= n.kindEnds[kind] {
@@ -295,7 +293,7 @@
 }
 
 func (s *sim) endWatch(n *node, e control.ObjectsWatched) {
-	e.Since = n.watch.Since
+	e.Kinds, e.Since = n.watch.Kinds, n.watch.Since
 	n.watch = nil
 	if e.Err != nil {
 		clear(n.kindEnds)
@@ -363,7 +361,15 @@
 		s.store.calls++
 		n.watches++
 		n.watch, n.watchEnd = &e, s.now+e.Wait
-		for kind := range n.cursors {
+		if s.watchApart {
+			for _, kind := range e.Kinds {
+				if _, listed := n.cursors[kind]; !listed {
+					s.endWatch(n, control.ObjectsWatched{Err: &platform.NotListedError{Kind: kind}})
+					return
+				}
+			}
+		}
+		for _, kind := range e.Kinds {
 			if _, inFlight := n.kindEnds[kind]; !inFlight {
 				n.kindEnds[kind] = s.now + e.Wait
 			}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"egretroad/internal/platform"
@@ -20,17 +21,15 @@
 
 // storeState is the state of all calls to the platform's store.
 type storeState struct {
-	catalogue       storeCall
-	groups          storeCall
-	vms             storeCall
-	watch           storeCall
-	longWatch       bool              // the call in flight is a long-polling watch, not a poll
-	stage           watchStage        // the next call on the way to a working watch
-	watchCancelled  bool              // the watch in flight was cancelled
-	listedRevisions map[string]uint64 // by kind; revision of the last list
-	listed          map[string]bool   // kinds that the store has listed since the start
-	epoch           uint64            // epoch of the last list; 0: none, or the store has no epochs
-	relistNeeded    bool              // the store has compacted the revision to watch from
+	catalogue      storeCall
+	groups         storeCall
+	vms            storeCall
+	watch          storeCall
+	longWatch      bool            // the call in flight is a long-polling watch, not a poll
+	stage          watchStage      // the next call on the way to a working watch
+	watchCancelled bool            // the watch in flight was cancelled
+	listed         map[string]bool // kinds that a watch covers: the store has listed them, and has the changes since
+	epoch          uint64          // epoch of the last list; 0: none, or the store has no epochs
 }
 
 // storeKinds returns the kinds of objects that VMs read from the store.
@@ -48,25 +47,54 @@
 	return "ok"
 }
 
-// startDueCalls starts the store calls that are due. While watches fail, probes tell when
-// the store responds again, and no other call is made.
-func (m *Machine) startDueCalls() {
-	if !m.Ready() || m.store.relistNeeded {
-		m.callWhenDue(&m.store.catalogue, ListObjects{Kind: platform.KindCatalogue})
-		m.callWhenDue(&m.store.groups, ListObjects{Kind: m.opts.groupKind()})
+// listCall returns the state of the lists of a kind.
+func (m *Machine) listCall(kind string) *storeCall {
+	if kind == m.opts.groupKind() {
+		return &m.store.groups
 	}
-	if m.store.stage != stageProbe {
-		m.callWhenDue(&m.store.vms, ListVMs{})
+	return &m.store.catalogue
+}
+
+// startDueCalls starts the store calls that are due. While watches or lists fail, probes
+// tell when the store responds again, and no other call is made.
+func (m *Machine) startDueCalls() {
+	if m.store.stage == stageProbe && m.Ready() {
+		m.callWhenDue(&m.store.watch, ProbeStore{})
+		return
 	}
-	if !m.Ready() || m.store.relistNeeded {
+	m.callWhenDue(&m.store.vms, ListVMs{})
+	m.listUnlistedKinds()
+	m.watchListedKinds()
+}
+
+// listUnlistedKinds lists the kinds that a watch does not cover. How this VM became ready
+// does not matter: the copy of another VM is no position to watch from. A VM that is ready
+// and does not watch lists them instead of a poll.
+func (m *Machine) listUnlistedKinds() {
+	if m.Ready() && !m.watch.watching && m.now < m.store.watch.due {
 		return
 	}
-	if m.store.stage == stageProbe {
-		m.callWhenDue(&m.store.watch, ProbeStore{})
+	for _, kind := range m.storeKinds() {
+		if !m.store.listed[kind] {
+			m.callWhenDue(m.listCall(kind), ListObjects{Kind: kind})
+		}
+	}
+}
+
+// watchListedKinds watches the kinds that have been listed. It waits for the first list of
+// the others to end.
+func (m *Machine) watchListedKinds() {
+	kinds := m.listedKinds()
+	if !m.Ready() || len(kinds) == 0 {
 		return
 	}
+	for _, kind := range m.storeKinds() {
+		if c := m.listCall(kind); !m.store.listed[kind] && c.inFlight && c.failures == 0 {
+			return
+		}
+	}
 	wait := m.watchWait()
-	if m.callWhenDue(&m.store.watch, WatchObjects{Since: m.complete.lowest(), Wait: wait}) {
+	if m.callWhenDue(&m.store.watch, WatchObjects{Kinds: kinds, Since: m.complete.lowest(), Wait: wait}) {
 		m.store.longWatch = wait > 0
 	}
 }
@@ -113,15 +141,12 @@
 // update relayed from a list carries no revision range, because it omits deletions of
 // objects that this VM never knew but the receiver may know.
 func (m *Machine) handleObjectsListed(e ObjectsListed) {
-	c := &m.store.catalogue
-	if e.Kind == m.opts.groupKind() {
-		c = &m.store.groups
-	}
-	m.finishCall(c, e.Err, m.opts.MaxBackoff)
+	c := m.listCall(e.Kind)
+	m.finishCall(c, e.Err, 0)
 	if e.Err != nil {
+		m.probeAfterFailedList(c)
 		return
 	}
-	m.store.listed[e.Kind] = true
 	m.log("kind_listed", "kind", e.Kind, "revision", e.List.Revision, "objects", len(e.List.Objects))
 	m.recordAnswer(e.Kind)
 	m.noticeEpoch(platform.EpochOf(e.List.Revision))
@@ -135,24 +160,63 @@
 		changed = m.mergeObjects(toRecords(e.List.Objects), sourceStore, e.List.Revision)
 		changed = append(changed, m.mergeObjects(m.deletionsFromList(e.Kind, e.List), sourceStore, e.List.Revision)...)
 	}
-	if m.store.listedRevisions == nil {
-		m.store.listedRevisions = make(map[string]uint64)
+	m.raiseComplete(e.Kind, max(e.List.Revision, 1), "list of the store")
+	if !wasReady && m.Ready() {
+		m.log("catalogue_from_store", "revision", m.complete.lowest())
 	}
-	m.store.listedRevisions[e.Kind] = e.List.Revision
-	m.completeLists()
+	m.watchFromList(e.Kind)
 	if wasReady && len(changed) <= maxRelayedObjects {
 		m.relayObjects(changed, sourceStore)
 	}
 }
 
-// noticeEpoch reads the list of VMs at once when the store has returned from an older copy:
+// probeAfterFailedList makes a VM that is ready probe the store before it lists again, unless
+// a watch in flight will tell more.
+func (m *Machine) probeAfterFailedList(list *storeCall) {
+	if !m.Ready() || m.store.watch.inFlight {
+		return
+	}
+	m.store.stage = stageProbe
+	m.store.watch.due = max(m.store.watch.due, list.due)
+}
+
+// watchFromList makes the next watch cover a kind that was listed. A watch in flight without
+// it ends.
+func (m *Machine) watchFromList(kind string) {
+	m.store.listed[kind] = true
+	m.store.watch.due = m.now
+	m.cancelLongWatch()
+	m.reportWatchState()
+	m.announceWatchContact()
+}
+
+// cancelLongWatch ends a watch that waits for changes.
+func (m *Machine) cancelLongWatch() {
+	if m.store.watch.inFlight && m.store.longWatch {
+		m.store.longWatch, m.store.watchCancelled = false, true
+		m.emit(CancelWatch{})
+	}
+}
+
+// listAgain makes the kinds of a watch be listed again, because the store cannot tell their
+// changes.
+func (m *Machine) listAgain(kinds []string) {
+	for _, kind := range kinds {
+		delete(m.store.listed, kind)
+		m.listCall(kind).due = m.now
+	}
+	m.reportWatchState()
+}
+
+// noticeEpoch reads the list of VMs at once when the store has returned from an older copy
+// since it was listed, or since another VM listed it for the copy that this one started with:
 // VMs that registered since are missing from it.
 func (m *Machine) noticeEpoch(epoch uint64) {
 	if epoch <= m.store.epoch {
 		return
 	}
-	if m.store.epoch != 0 {
-		m.alarm("store_restored", "epoch", epoch, "previous", m.store.epoch, "catalogue", m.complete.Catalogue, "groups", m.complete.Groups)
+	if known := max(m.store.epoch, platform.EpochOf(m.complete.Groups)); known != 0 && known < epoch {
+		m.alarm("store_restored", "epoch", epoch, "previous", known, "catalogue", m.complete.Catalogue, "groups", m.complete.Groups)
 		m.store.vms.due = m.now
 	}
 	m.store.epoch = epoch
@@ -174,35 +238,25 @@
 	return deletions
 }
 
-// completeLists raises the completeness of both kinds once both were listed.
-func (m *Machine) completeLists() {
-	c, okCatalogue := m.store.listedRevisions[platform.KindCatalogue]
-	g, okGroups := m.store.listedRevisions[m.opts.groupKind()]
-	if !okCatalogue || !okGroups {
-		return
-	}
-	if !m.Ready() {
-		m.log("catalogue_from_store", "revision", min(c, g))
-	}
-	m.adoptCompleteness(Completeness{Catalogue: max(c, 1), Groups: max(g, 1)}, "list of the store")
-	m.store.relistNeeded = false
-	m.store.listedRevisions = nil
-	m.store.watch.due = m.now
-	m.announceWatchContact()
-}
-
 // handleObjectsWatched merges the result of a watch or poll and relays the changes.
-// A compacted revision triggers a new list of all objects.
+// A compacted revision triggers a new list of all objects, and so does a kind that the
+// store's client has not listed.
 func (m *Machine) handleObjectsWatched(e ObjectsWatched) {
+	if e.Kinds == nil {
+		e.Kinds = m.storeKinds()
+	}
 	cancelled := m.store.watchCancelled
 	m.store.longWatch, m.store.watchCancelled = false, false
 	var compacted *platform.CompactedError
 	if errors.As(e.Err, &compacted) {
 		m.finishCall(&m.store.watch, nil, 0)
-		m.store.relistNeeded = true
-		m.store.catalogue.due, m.store.groups.due = m.now, m.now
+		m.listAgain(e.Kinds)
 		return
 	}
+	var notListed *platform.NotListedError
+	if errors.As(e.Err, &notListed) {
+		m.listAgain([]string{notListed.Kind})
+	}
 	next := m.opts.MinWatchInterval
 	if !m.watch.watching {
 		next = m.jitter(m.opts.PollInterval)
@@ -218,6 +272,9 @@
 	}
 	m.store.stage = stageWatch
 	for _, kind := range m.storeKinds() {
+		if e.Response.Ranges == nil && !slices.Contains(e.Kinds, kind) {
+			continue
+		}
 		if e.Response.Answers(kind) {
 			m.recordAnswer(kind)
 		}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -189,8 +189,7 @@
 	m.reportWatchState()
 	switch {
 	case !watching && m.store.watch.inFlight && m.store.longWatch:
-		m.store.longWatch, m.store.watchCancelled = false, true
-		m.emit(CancelWatch{})
+		m.cancelLongWatch()
 	case !watching:
 		m.store.watch.due = m.now + m.jitter(m.opts.PollInterval)
 	default:
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -89,10 +89,13 @@
 	}
 }
 
+// watchedKinds are the kinds that VMs watch.
+var watchedKinds = []string{store.KindCatalogue, store.KindServer}
+
 // watch waits until the store reports a change.
 func (v *controlVM) watch() {
 	for range 50 {
-		response, err := v.store.Watch(context.Background(), 0, time.Second)
+		response, err := v.store.Watch(context.Background(), watchedKinds, 0, time.Second)
 		v.g.Expect(err).NotTo(HaveOccurred())
 		v.step(control.ObjectsWatched{Response: response})
 		if len(response.Objects) > 0 {
@@ -106,7 +109,7 @@
 // relist watches until the store reports that its history is gone, and lists again.
 func (v *controlVM) relist() {
 	for range 5 {
-		response, err := v.store.Watch(context.Background(), 0, time.Second)
+		response, err := v.store.Watch(context.Background(), watchedKinds, 0, time.Second)
 		v.step(control.ObjectsWatched{Response: response, Err: err})
 		var compacted *store.CompactedError
 		if errors.As(err, &compacted) {
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -136,7 +136,9 @@
 	List(ctx context.Context, kind string) (ObjectList, error)
 	Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (Object, error)
 	Delete(ctx context.Context, kind, name string, ifVersion uint64) (Object, error)
-	Watch(ctx context.Context, since uint64, wait time.Duration) (WatchResponse, error)
+	// Watch waits up to wait for changes of the given kinds after a revision. A store that
+	// watches each kind from its last list returns *NotListedError for a kind without one.
+	Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) (WatchResponse, error)
 	VMs(ctx context.Context) (VMList, error)
 	// Probe checks whether the store responds, with the call of the least cost.
 	Probe(ctx context.Context) error
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -28,6 +28,14 @@
 	return fmt.Sprintf("platform has compacted revision %d", e.Since)
 }
 
+// NotListedError reports a watch of a kind that the store has not listed to this process, or
+// not since it compacted the revision to watch from. The caller must list the kind first.
+type NotListedError struct{ Kind string }
+
+func (e *NotListedError) Error() string {
+	return fmt.Sprintf("kind %s cannot be watched before it has been listed", e.Kind)
+}
+
 // UnavailableError reports a call without a usable response. A change may have taken
 // effect.
 type UnavailableError struct {
--- a/internal/platform/objectclient/client.go
+++ b/internal/platform/objectclient/client.go
@@ -33,7 +33,6 @@
 	ReadBurst        int           // burst size of reads and watches
 	WritesPerSecond  float64       // rate limit of changes
 	WriteBurst       int           // burst size of changes
-	WatchKinds       []string      // kinds that Watch requests; empty: all
 }
 
 // DefaultOptions returns the options for a proxy process. Watches cover catalogue
@@ -48,7 +47,6 @@
 		ReadBurst:        40,
 		WritesPerSecond:  10,
 		WriteBurst:       40,
-		WatchKinds:       []string{platform.KindCatalogue, platform.KindGroup},
 	}
 }
 
@@ -125,13 +123,13 @@
 }
 
 // Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) (platform.WatchResponse, error) {
+func (c *Client) Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) (platform.WatchResponse, error) {
 	query := url.Values{
 		"since":  {strconv.FormatUint(since, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	if len(c.opts.WatchKinds) > 0 {
-		query.Set("kinds", strings.Join(c.opts.WatchKinds, ","))
+	if len(kinds) > 0 {
+		query.Set("kinds", strings.Join(kinds, ","))
 	}
 	var r platform.WatchResponse
 	err := c.call(ctx, request{call: CallWatch, method: http.MethodGet, path: platform.PathWatch + "?" + query.Encode(), since: since, watchWait: wait}, &r)
