Fuzz starts within store outages and check that VMs follow the store

The fuzz of the simulated fleet checked convergence 45 s after all faults, on a store that told changes of kinds that a VM had never listed, so a VM that had lost its watch converged by the copies of others, or by its next poll.

TestVMsFollowStoreAfterAnyStart checks twice a second that each VM that no fault has affected for 5 s has every object as the store has had it for 4 s, and that the store's last answer for both kinds, to it or to a VM that watches for it, is at most 4 s old. Outages of every kind (whole, refusals, one kind, slow, lost answers, compaction, cuts) overlap with rolls, kills and starts.

The simulated store can be slow, lose answers, compact its history and refuse single kinds.

--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -24,6 +24,8 @@
 	vmsRev   uint64
 	down     bool
 	calls    int
+	// compacted is the revision up to which the store has forgotten its history.
+	compacted uint64
 }
 
 func (s *fakeStore) put(kind, name string, value any) uint64 {
@@ -85,6 +87,8 @@
 	watches        int                      // watches and polls started
 	cursors        map[string]uint64        // by kind; revision after which the next watch reports, if kinds are watched apart
 	kindEnds       map[string]time.Duration // by kind; end of its watch in flight, if kinds are watched apart
+	answered       map[string]time.Duration // by kind; when the store last answered a list, or a watch after one
+	disturbedAt    time.Duration            // when a fault last affected the VM
 	starts         uint64
 	pausedEvents   []reducer.Event // arrived while paused
 	pendingFetches map[uint64]func(control.FetchReply)
@@ -102,15 +106,18 @@
 	ids         []string
 	partitioned map[string]bool // data centres partitioned from the store and all other data centres
 	refused     map[string]bool // VMs that the store refuses
-	kindsDown   map[string]bool // kinds whose lists the store refuses
+	kindsDown   map[string]bool // kinds whose lists and watches the store refuses
 	muted, deaf map[string]bool // VMs whose one-way messages get lost, and VMs to which they get lost
 	silent      bool            // the store's refused calls end at their time-out, not at once
 	queue       []delivery
 	messages    int
 	opts        control.Options
 	seeds       []topology.VM
-	watchApart  bool   // each kind has a watch of its own, since a cursor of its own
-	lossPercent uint64 // share of the one-way messages that get lost
+	watchApart  bool          // each kind has a watch of its own, since a cursor of its own
+	lossPercent uint64        // share of the one-way messages that get lost
+	storeDelay  time.Duration // additional response time of the store
+	lostAnswers uint64        // percentage of the store's answers that get lost
+	afterTick   func()        // called after each tick; nil: nothing
 	fail        func(format string, args ...any)
 }
 
@@ -172,7 +179,7 @@
 // start starts or restarts a VM's process, without any earlier state.
 func (s *sim) start(vm topology.VM) *node {
 	old := s.nodes[vm.ID]
-	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, cursors: map[string]uint64{}, kindEnds: map[string]time.Duration{}, starts: 1}
+	n := &node{vm: vm, up: true, pendingFetches: map[uint64]func(control.FetchReply){}, highestInForce: map[string]uint64{}, cursors: map[string]uint64{}, kindEnds: map[string]time.Duration{}, answered: map[string]time.Duration{}, disturbedAt: s.now, starts: 1}
 	if old != nil {
 		n.starts = old.starts + 1
 	} else {
@@ -205,6 +212,9 @@
 		}
 		s.deliver()
 		s.pollWatches()
+		if s.afterTick != nil {
+			s.afterTick()
+		}
 	}
 }
 
@@ -265,31 +275,52 @@
 			}
 			continue
 		}
-		r := s.changes(n)
-		if len(r.Objects) > 0 || len(r.Ranges) > 0 || !s.watchApart && s.now >= n.watchEnd {
+		r, err := s.changes(n)
+		switch {
+		case err != nil:
+			s.endWatch(n, control.ObjectsWatched{Err: err})
+		case len(r.Objects) > 0 || len(r.Ranges) > 0 || !s.watchApart && s.now >= n.watchEnd:
 			s.endWatch(n, control.ObjectsWatched{Response: r})
 		}
 	}
 }
 
 // changes returns the changes that the watch of a node reports now. Kinds that are watched
-// apart are watched from the last list of the kind, and not at all before it.
-func (s *sim) changes(n *node) platform.WatchResponse {
+// apart are watched from the last list of the kind, and not at all before it. The failure of
+// one kind is reported once the other one has no answer.
+func (s *sim) changes(n *node) (platform.WatchResponse, error) {
 	if !s.watchApart {
-		return s.store.changesSince(n.watch.Since)
+		return s.store.changesSince(n.watch.Since), nil
 	}
 	r := platform.WatchResponse{Ranges: map[string]platform.RevisionRange{}}
+	var failure error
 	for _, kind := range n.watch.Kinds {
+		switch cursor, listed := n.cursors[kind]; {
+		case !listed:
+			failure = &platform.NotListedError{Kind: kind}
+			continue
+		case s.kindsDown[kind]:
+			failure = &platform.UnavailableError{Call: "watch"}
+			continue
+		case cursor < s.store.compacted:
+			failure = &platform.CompactedError{Since: cursor}
+			delete(n.cursors, kind)
+			continue
+		}
 		all := s.store.changesSince(n.cursors[kind])
 		changed := slices.DeleteFunc(all.Objects, func(o platform.Object) bool { return o.Kind != kind })
 		if len(changed) > 0 || s.now >= n.kindEnds[kind] {
 			r.Objects = append(r.Objects, changed...)
 			r.Ranges[kind] = platform.RevisionRange{Since: n.cursors[kind], Revision: all.Revision}
 			n.cursors[kind] = all.Revision
+			n.answered[kind] = s.now
 			delete(n.kindEnds, kind)
 		}
 	}
-	return r
+	if len(r.Ranges) > 0 {
+		return r, nil
+	}
+	return r, failure
 }
 
 func (s *sim) endWatch(n *node, e control.ObjectsWatched) {
@@ -346,7 +377,7 @@
 				err = &platform.UnavailableError{Call: "list"}
 			}
 			if err == nil {
-				n.cursors[e.Kind] = list.Revision
+				n.cursors[e.Kind], n.answered[e.Kind] = list.Revision, s.now
 			}
 			return control.ObjectsListed{Kind: e.Kind, List: list, Err: err}
 		})
@@ -361,14 +392,6 @@
 		s.store.calls++
 		n.watches++
 		n.watch, n.watchEnd = &e, s.now+e.Wait
-		if s.watchApart {
-			for _, kind := range e.Kinds {
-				if _, listed := n.cursors[kind]; !listed {
-					s.endWatch(n, control.ObjectsWatched{Err: &platform.NotListedError{Kind: kind}})
-					return
-				}
-			}
-		}
 		for _, kind := range e.Kinds {
 			if _, inFlight := n.kindEnds[kind]; !inFlight {
 				n.kindEnds[kind] = s.now + e.Wait
@@ -410,7 +433,13 @@
 		s.schedule(s.failureDelay(), func() { s.post(n, result(&platform.UnavailableError{Call: "sim"})) })
 		return
 	}
-	s.schedule(simTick, func() { s.post(n, result(nil)) })
+	s.schedule(simTick+s.storeDelay, func() {
+		if uint64(s.store.calls)*2654435761%100 < s.lostAnswers {
+			s.post(n, result(&platform.UnavailableError{Call: "lost"}))
+			return
+		}
+		s.post(n, result(nil))
+	})
 }
 
 func (s *sim) send(from *node, to string, e control.Notify) {
