Play starts and rolls in store outages on real processes

measure silence restarted VMs beside silent connections, never while the store failed. It now draws an outage of the store (silent, 503, slow, lists only, one kind only, lost answers, compacted; for half or all VMs) in which some or all VMs are restarted in turn. Callers write meanwhile on sessions that they keep; their answers are compared with the servers' commits. At the end each VM must have been served by a watch since the last disruption, also where others tell it of changes: a fleet in which one VM still watches hides the fault otherwise.

Both tests of the package start fleets of the same addresses, so they run one after the other now.

--- a/internal/e2e/silence/silence_test.go
+++ b/internal/e2e/silence/silence_test.go
@@ -1,5 +1,5 @@
-// Package silence_test plays connections that go silent for good on real processes of the
-// users' platform. How long a change may take is measured by tools/measure.
+// Package silence_test plays connections that go silent for good, and starts in outages of the
+// store, on real processes of the users' platform. How long a change may take is measured by tools/measure.
 package silence_test
 
 import (
@@ -25,15 +25,59 @@
 	eventuallyTimeout = 90 * time.Second
 )
 
-func TestChangesReachProcessesWhoseConnectionsGoSilent(t *testing.T) {
-	t.Parallel()
+// startFleet builds the program and starts a fleet. Fleets of one process share their
+// addresses, so that the tests do not run in parallel.
+func startFleet(t *testing.T, o platformfleet.Options) *platformfleet.Fleet {
 	g := NewWithT(t)
 	binary := filepath.Join(t.TempDir(), "egretroad")
 	out, err := exec.Command("go", "build", "-o", binary, "egretroad/cmd/egretroad").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	fleet, err := platformfleet.Start(context.Background(), binary, t.TempDir(), platformfleet.Options{VMsEach: vmsEach})
-	defer fleet.Stop()
+	fleet, err := platformfleet.Start(context.Background(), binary, t.TempDir(), o)
+	t.Cleanup(fleet.Stop)
 	g.Expect(err).NotTo(HaveOccurred())
+	return fleet
+}
+
+// expectServed waits until all VMs serve a route.
+func expectServed(g *WithT, fleet *platformfleet.Fleet, host string) {
+	for _, v := range fleet.VMs {
+		g.Eventually(func() bool {
+			accepted, _ := v.Serves(host)
+			return accepted
+		}, eventuallyTimeout, "100ms").Should(BeTrue(), "%s serves %s", v.Name, host)
+	}
+}
+
+// All processes are restarted while the store fails, and become ready with copies of each
+// other. Each must follow the store afterwards, also where others would tell it of changes.
+func TestProcessesThatStartInStoreOutageFollowTheStore(t *testing.T) {
+	for _, kind := range []platformfleet.OutageKind{platformfleet.StoreSilent, platformfleet.ListsRefused, platformfleet.ServersRefused, platformfleet.ConfigRefused} {
+		t.Run(string(kind), func(t *testing.T) {
+			g := NewWithT(t)
+			fleet := startFleet(t, platformfleet.Options{VMsEach: 1, Seeds: 3})
+			fleet.BeginOutage(kind, fleet.VMs)
+			for _, v := range fleet.VMs {
+				v.Kill()
+				g.Expect(v.Start()).To(Succeed())
+				g.Expect(v.AwaitReady(context.Background())).To(Succeed())
+			}
+			fleet.EndOutage()
+			ended := time.Now()
+			for _, v := range fleet.VMs {
+				g.Eventually(func() bool {
+					age, err := v.WatchAge(context.Background())
+					return err == nil && age < time.Since(ended)
+				}, eventuallyTimeout, "50ms").Should(BeTrue(), "%s follows the store", v.Name)
+			}
+			fleet.AddRoute("after")
+			expectServed(g, fleet, "after")
+		})
+	}
+}
+
+func TestChangesReachProcessesWhoseConnectionsGoSilent(t *testing.T) {
+	g := NewWithT(t)
+	fleet := startFleet(t, platformfleet.Options{VMsEach: vmsEach})
 	random := rand.New(rand.NewPCG(seed, 0))
 	for i := range rounds {
 		silent := fleet.Links.SilencePeers(random, 0.7)
@@ -50,12 +94,6 @@
 		frozen.Signal(syscall.SIGCONT)
 	}
 	fleet.AddRoute("after")
-	for _, v := range fleet.VMs {
-		for _, host := range []string{"within-0", "after"} {
-			g.Eventually(func() bool {
-				accepted, _ := v.Serves(host)
-				return accepted
-			}, eventuallyTimeout, "100ms").Should(BeTrue(), "%s serves %s", v.Name, host)
-		}
-	}
+	expectServed(g, fleet, "within-0")
+	expectServed(g, fleet, "after")
 }
--- a/internal/standin/platformfleet/fleet.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 
 	binary string
 	dir    string // settings and logs
+	seeds  int    // number of VMs that the settings name as seeds
 	store  *metastore.Store
 	facade *httptest.Server
 	group  *linegroup.Group
@@ -91,6 +93,8 @@
 // Options describe a fleet.
 type Options struct {
 	VMsEach int // VMs in each of three data centres
+	// Seeds is the number of VMs that the settings of each VM name as seeds.
+	Seeds int
 	// KeepsOldPrimary makes the platform neither stop a replaced primary nor refuse a low
 	// fencing token.
 	KeepsOldPrimary bool
@@ -99,7 +103,7 @@
 // Start starts a fleet and waits until all VMs are ready. Settings and logs of the processes
 // go to dir. The caller must call Stop, also after an error.
 func Start(ctx context.Context, binary, dir string, o Options) (*Fleet, error) {
-	f := &Fleet{binary: binary, dir: dir, Links: newLinks()}
+	f := &Fleet{binary: binary, dir: dir, seeds: o.Seeds, Links: newLinks()}
 	var err error
 	if f.store, err = metastore.New(); err != nil {
 		return f, err
@@ -239,6 +243,18 @@
 
 func (v *VM) address(port int) string { return net.JoinHostPort(v.IP, fmt.Sprint(port)) }
 
+// seedList returns the addresses of the relays of the seeds as a list in TOML.
+func (f *Fleet) seedList() string {
+	addresses := []string{}
+	for _, v := range f.VMs[:min(f.seeds, len(f.VMs))] {
+		addresses = append(addresses, strconv.Quote(f.Links.peers[v.Name].Addr()))
+	}
+	return "[" + strings.Join(addresses, ",") + "]"
+}
+
+// Promotions returns the number of promotion calls so far.
+func (f *Fleet) Promotions() int { return len(f.store.Promotions()) }
+
 // settings returns the platform's settings file.
 func (v *VM) settings() string {
 	zones := ""
@@ -250,7 +266,7 @@
 zone = %q
 region = "r-%s"
 internal-ports = [%d,%d]
-seeds = []
+seeds = %s
 heartbeat-ms = 1200
 [zones]
 %s[listen]
@@ -268,7 +284,7 @@
 [cloud-api]
 address = %q
 duties = ["failover"]
-`, v.Name, v.IP, zoneName(v.zone), zoneName(v.zone), statusPort, statusPort+10, zones,
+`, v.Name, v.IP, zoneName(v.zone), zoneName(v.zone), statusPort, statusPort+10, v.fleet.seedList(), zones,
 		v.address(frontPort), v.address(readyPort), v.address(controlPort),
 		int(graceTime.Seconds()), v.fleet.Links.store.Addr(), v.fleet.store.Addr())
 }
--- a/internal/standin/platformfleet/network.go
+++ b/internal/standin/platformfleet/network.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex                // guards the fields below
 	peers   map[string]*silence.Relay // in front of a VM, by its name
 	refused map[string]bool           // IP addresses of the VMs that the store refuses
+	outage  *outage                   // nil: none
 }
 
 func newLinks() *Links {
@@ -85,6 +86,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		outage := l.outageOf(r)
+		if failCall(w, r, outage) {
+			return
+		}
 		forwarded, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+store+r.URL.RequestURI(), r.Body)
 		if err != nil {
 			panic(http.ErrAbortHandler) // ends the connection
@@ -99,6 +104,12 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if outage == AnswersLost {
+			panic(http.ErrAbortHandler) // the call has been executed
+		}
+		if during := l.outageOf(r); outage == "" && during != StoreSlow && during != AnswersLost && failCall(w, r, during) {
+			return // the outage began while a watch waited
+		}
 		if r.Method == http.MethodGet && r.URL.Path == "/objects/"+kindVMs {
 			body = l.rewrite(body)
 		}
--- a/tools/measure/silence/silence.go
+++ b/tools/measure/silence/silence.go
@@ -1,7 +1,10 @@
 // Package silence measures the time until a change of the configuration is in force on
 // real proxy processes of the users' platform, around open connections between them and to
-// the store that go silent for good. The connections go silent in series, which overlap
-// with a store that refuses some VMs, frozen and restarted VMs, and changes.
+// the store that go silent for good, and outages of the store. The connections go silent in
+// series, which overlap with a store that refuses some VMs, frozen and restarted VMs, an
+// outage of the store in which some or all VMs are restarted, and changes. Callers write
+// meanwhile on sessions that they keep; the measurement compares their answers with the
+// servers' commits.
 package silence
 
 import (
@@ -26,6 +29,7 @@
 // Sizes and times of the measurement.
 const (
 	defaultVMsEach = 14 // more VMs than all watch the store
+	seeds          = 3  // VMs that the settings of each VM name
 	warmUp         = 6 * time.Second
 	changesAfter   = 4 // changes after the last disruption
 	probeInterval  = 150 * time.Millisecond
@@ -68,6 +72,7 @@
 	fleet  *platformfleet.Fleet
 	random *rand.Rand
 	plan   plan
+	outage outagePlan
 	began  time.Time
 
 	mu            sync.Mutex // guards the fields below
@@ -95,15 +100,16 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }() // best effort: it is a temporary directory
 	}
-	fleet, err := platformfleet.Start(ctx, env.Binary, dir, platformfleet.Options{VMsEach: vmsEach})
+	fleet, err := platformfleet.Start(ctx, env.Binary, dir, platformfleet.Options{VMsEach: vmsEach, Seeds: seeds})
 	defer fleet.Stop()
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(warmUp)
 	random := rand.New(rand.NewPCG(env.Seed, 36))
-	r := &run{env: env, fleet: fleet, random: random, plan: drawPlan(random, len(fleet.VMs)), began: time.Now()}
-	r.note("%d VMs, plan %+v", len(fleet.VMs), r.plan)
+	r := &run{env: env, fleet: fleet, random: random, plan: drawPlan(random, len(fleet.VMs)), outage: drawOutage(env.Seed, len(fleet.VMs)), began: time.Now()}
+	r.note("%d VMs, plan %+v, outage %+v", len(fleet.VMs), r.plan, r.outage)
+	callers := startCallers(ctx, fleet, env.Seed)
 	direct, err := fleet.Bypassing()
 	if err != nil {
 		return nil, err
@@ -111,7 +117,9 @@
 	r.series(ctx)
 	r.changeAfterSeries(ctx)
 	r.probes.Wait()
-	return r.report(direct), ctx.Err()
+	result := r.report(direct, callers.end())
+	result.AtMost("vms_not_followed", float64(r.countNotFollowing(ctx)), 0)
+	return result, ctx.Err()
 }
 
 func (r *run) note(format string, args ...any) {
@@ -132,6 +140,7 @@
 	for _, v := range refused {
 		r.fleet.Links.Refuse(v.IP, true)
 	}
+	others.Go(func() { r.playOutage(ctx) })
 	for _, victims := range []struct {
 		vms  []*platformfleet.VM
 		play func(*platformfleet.VM)
@@ -269,7 +278,25 @@
 	}
 }
 
-func (r *run) report(direct int) *report.Report {
+// countNotFollowing returns the number of VMs that no watch on the store has served since the
+// last disruption. Their callers may be served by an old configuration, although changes reach
+// them through others as long as these are served.
+func (r *run) countNotFollowing(ctx context.Context) int {
+	time.Sleep(stableWindow - time.Since(r.lastDisrupted))
+	following := 0
+	for _, v := range r.fleet.VMs {
+		calm := time.Since(r.lastDisrupted)
+		age, err := v.WatchAge(ctx)
+		if err == nil && age < calm {
+			following++
+			continue
+		}
+		r.note("NOT FOLLOWING: %s was last served %v ago, the last disruption was %v ago: %v", v.Name, age, calm, err)
+	}
+	return len(r.fleet.VMs) - following
+}
+
+func (r *run) report(direct int, o outcome) *report.Report {
 	result := report.New("silence", r.env.Seed)
 	var longest time.Duration
 	for _, d := range r.delays {
@@ -281,6 +308,12 @@
 	result.Set("longest_delay_disturbed_s", r.disturbed.Seconds())
 	result.AtLeast("changes_by_vm", float64(len(r.delays)), float64(changesAfter*len(r.fleet.VMs)))
 	result.AtMost("late", float64(r.late), 0)
+	result.Set("promotions", float64(r.fleet.Promotions()))
+	result.Set("acknowledged", float64(o.acknowledged))
+	result.Set("promised_not_kept", float64(o.promised))
+	result.AtMost("committed_twice", float64(o.twice), 0)
+	result.AtMost("kept_after_promise", float64(o.keptAfterPromise), 0)
+	result.AtMost("acknowledged_but_not_committed", float64(o.lost), 0)
 	// A VM that hears of another one before it has read the list of VMs connects to it
 	// directly. Such links never go silent, so a run with many of them proves less.
 	result.Set("links_past_relays", float64(direct))
