--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"egretroad/internal/control"
 	"egretroad/internal/platform"
 	"egretroad/internal/topology"
 )
@@ -164,3 +165,23 @@
 		})
 	}
 }
+
+// A VM that started with a copy did not notice that the store had returned from an older copy
+// of itself meanwhile: it had never listed it before.
+func TestVMThatStartedWithCopyNoticesReturnOfStore(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarnessWithoutCatalogue()
+	h.listVMs()
+	unavailable := &platform.UnavailableError{Call: "list"}
+	h.post(control.ObjectsListed{Kind: platform.KindCatalogue, Err: unavailable})
+	h.post(control.ObjectsListed{Kind: platform.KindServer, Err: unavailable})
+	h.post(control.PeerFetched{From: "a2", Reply: control.FetchReply{
+		Complete: control.Completeness{Catalogue: 3, Groups: platform.MakeVersion(1, 50)},
+	}})
+	h.tick(time.Second)
+	h.effects = nil
+	h.listObjects(platform.MakeVersion(2, 40))
+	h.tick(time.Second)
+	g.Expect(h.effects).To(ContainElement(HaveField("Event", "store_restored")))
+	g.Expect(h.effects).To(ContainElement(control.ListVMs{}))
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -468,6 +468,49 @@
 	f.expectRouteServed("returns")
 }
 
+// restartAllWithoutStore makes the store unavailable and restarts all VMs, which become ready with copies.
+func (f *fleet) restartAllWithoutStore() {
+	f.store.ForceStatus(503)
+	for i := range f.vms {
+		f.restart(i)
+	}
+}
+
+// A VM that is started for the first time in an outage of the store registers after it.
+func TestVMThatStartedInStoreOutageRegistersAfterIt(t *testing.T) {
+	f := newFleet(t)
+	f.vms[2].stop()
+	f.vms[2].done <- <-f.vms[2].done
+	f.store.Delete("egretroad-vms", f.vms[2].settings.VM)
+	f.store.ForceStatus(503)
+	f.restart(2)
+	f.store.ForceStatus(0)
+	f.g.Eventually(func() bool { return f.store.Has("egretroad-vms", f.vms[2].settings.VM) }, "20s", "20ms").Should(BeTrue())
+}
+
+// VMs that have only copies replace a primary that crashed while the store was unavailable.
+func TestPrimaryThatCrashedInStoreOutageIsReplacedAfterStarts(t *testing.T) {
+	f := newFleet(t)
+	f.restartAllWithoutStore()
+	f.group.Server("s-a").Crash()
+	time.Sleep(followTime)
+	f.store.ForceStatus(0)
+	f.g.Eventually(f.group.Primary, "30s", "20ms").ShouldNot(Equal("s-a"))
+	c := f.session(1, "shop")
+	f.g.Eventually(func() string { return c.do("w1", "WRITE lamp 1").code }, "20s", "20ms").Should(BeEmpty())
+}
+
+// A server that left while the store was unavailable is in the copies only.
+func TestServerThatLeftInStoreOutageIsDroppedAfterStarts(t *testing.T) {
+	f := newFleet(t)
+	f.restartAllWithoutStore()
+	f.store.Delete("servers", "s-c")
+	f.store.ForceStatus(0)
+	for i := range f.vms {
+		f.g.Eventually(func() string { return string(f.vms[i].log.snapshot()) }, "20s", "50ms").Should(ContainSubstring("event=server_gone vm="+f.vms[i].settings.VM+" server=s-c"))
+	}
+}
+
 // followTime is more than the longest back-off of calls to the store, after which a VM follows
 // it again.
 const followTime = 2 * time.Second
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -154,6 +154,14 @@
 	s.delete(kind, name)
 }
 
+// Has reports whether an object exists.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, found := s.kinds[kind][name]
+	return found
+}
+
 // AcceptStaleTokens makes the store perform promotion calls whatever their fencing token.
 func (s *Store) AcceptStaleTokens() {
 	s.mu.Lock()
