Give fleets of different processes different addresses

Two fleets of measure silence at a time had the same loopback addresses when the IDs of their processes were equal modulo 100.

The addresses use more of the ID, and a fleet does not start on an address that is in use.

--- a/internal/standin/platformfleet/fleet.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -189,7 +189,10 @@
 	zone := index % dataCentres
 	v := &VM{
 		fleet: f, Index: index, zone: zone, Name: fmt.Sprintf("vm-%s-%d", zoneName(zone), index/dataCentres),
-		IP: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%100, zone+1, index/dataCentres+1),
+		IP: vmAddress(os.Getpid(), zone, index/dataCentres),
+	}
+	if err := v.checkAddressFree(); err != nil {
+		return err
 	}
 	f.store.Put(kindVMs, v.Name, map[string]any{
 		"id": v.Name, "dataCentre": zoneName(zone), "region": "r-" + zoneName(zone),
@@ -199,6 +202,25 @@
 	return f.Links.addPeer(v.Name, v.address(controlPort))
 }
 
+// vmAddress returns the loopback address of a VM. Fleets of different processes that run at
+// the same time have different addresses.
+func vmAddress(pid, zone, index int) string {
+	const ranges, subranges = 100, 250 / (dataCentres + 1)
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid%ranges, pid/ranges%subranges*(dataCentres+1)+zone+1, index+1)
+}
+
+// checkAddressFree returns an error if another process listens on the VM's address.
+func (v *VM) checkAddressFree() error {
+	for _, port := range []int{frontPort, readyPort, controlPort, statusPort} {
+		listener, err := net.Listen("tcp", v.address(port))
+		if err != nil {
+			return &VMError{VM: v.Name, Cause: err}
+		}
+		_ = listener.Close() // it was only opened to see that it can be
+	}
+	return nil
+}
+
 // AwaitReady waits until the VM reports itself ready.
 func (v *VM) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
