--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -507,7 +507,7 @@
 	f.store.Delete("servers", "s-c")
 	f.store.ForceStatus(0)
 	for i := range f.vms {
-		f.g.Eventually(func() string { return string(f.vms[i].log.snapshot()) }, "20s", "50ms").Should(ContainSubstring("event=server_gone vm="+f.vms[i].settings.VM+" server=s-c"))
+		f.g.Eventually(func() string { return string(f.vms[i].log.snapshot()) }, "20s", "50ms").Should(ContainSubstring("event=server_gone vm=" + f.vms[i].settings.VM + " server=s-c"))
 	}
 }
 
