--- a/internal/standin/platformfleet/session.go
+++ b/internal/standin/platformfleet/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -38,6 +39,12 @@
 // Close closes the session.
 func (s *Session) Close() { _ = s.conn.Close() } // its callers are done with it
 
+// PromisesNothingKept reports whether an error code promises that nothing of a statement is
+// kept.
+func PromisesNothingKept(code string) bool {
+	return slices.Contains([]string{"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"}, code)
+}
+
 // Run runs one statement. code is the error code of the reply; empty on success. An error
 // means that there is no reply within the time limit.
 func (s *Session) Run(id, text string, limit time.Duration) (code string, err error) {
--- a/tools/measure/silence/callers.go
+++ b/tools/measure/silence/callers.go
@@ -16,9 +16,6 @@
 	statementPause = 20 * time.Millisecond // between two statements of a caller
 )
 
-// promises are the error codes that promise that nothing of a statement is kept.
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGNODE": true, "MAXCONN": true}
-
 // callers write through sessions that they keep until the process at the other end has gone,
 // and record what each write was answered.
 type callers struct {
@@ -96,7 +93,7 @@
 			if committed[id] == 0 {
 				o.lost++
 			}
-		case promises[code]:
+		case platformfleet.PromisesNothingKept(code):
 			o.promised++
 			if committed[id] > 0 {
 				o.keptAfterPromise++
