Lose responses of the store's stand-in as its outage says

An outage that loses half of the responses lost none: each call was counted twice, so the count at the decision was always odd.

--- a/internal/standin/platformfleet/network.go
+++ b/internal/standin/platformfleet/network.go
@@ -104,10 +104,10 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if outage == AnswersLost {
-			panic(http.ErrAbortHandler) // the call has been executed
+		if l.losesResponse(outage) {
+			panic(http.ErrAbortHandler)
 		}
-		if during := l.outageOf(r); outage == "" && during != StoreSlow && during != AnswersLost && failCall(w, r, during) {
+		if outage == "" && failCall(w, r, l.outageOf(r)) {
 			return // the outage began while a watch waited
 		}
 		if r.Method == http.MethodGet && r.URL.Path == "/objects/"+kindVMs {
--- a/internal/standin/platformfleet/outage.go
+++ b/internal/standin/platformfleet/outage.go
@@ -30,9 +30,9 @@
 
 // outage is an outage of the store towards some VMs.
 type outage struct {
-	kind  OutageKind
-	vms   map[string]bool // their IP addresses
-	calls int             // so far
+	kind     OutageKind
+	vms      map[string]bool // their IP addresses
+	executed int             // calls executed so far, if their responses get lost
 }
 
 // BeginOutage starts an outage of the store towards some VMs and ends the one before it.
@@ -77,14 +77,23 @@
 		return kind == "servers"
 	case ConfigRefused:
 		return kind == "config"
-	case AnswersLost:
-		o.calls++
-		return o.calls%2 == 0
 	default:
 		return true
 	}
 }
 
+// losesResponse reports whether the response to a call that was executed in an outage gets
+// lost: that of each second one.
+func (l *Links) losesResponse(kind OutageKind) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if kind != AnswersLost || l.outage == nil {
+		return false
+	}
+	l.outage.executed++
+	return l.outage.executed%2 == 0
+}
+
 // failCall lets a call fail as the outage demands and reports whether it did.
 func failCall(w http.ResponseWriter, r *http.Request, kind OutageKind) bool {
 	switch kind {
