--- a/internal/standin/silence/silence.go
+++ b/internal/standin/silence/silence.go
@@ -5,12 +5,17 @@
 package silence
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-const bufferBytes = 32 << 10
+const (
+	bufferBytes = 32 << 10
+	acceptRetry = 50 * time.Millisecond
+)
 
 // Relay forwards connections from its own address to a target. Safe for concurrent use.
 type Relay struct {
@@ -73,9 +78,13 @@
 func (r *Relay) accept() {
 	for {
 		in, err := r.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetry) // out of file descriptors
+			continue
+		}
 		source := in.RemoteAddr().(*net.TCPAddr).IP
 		dialer := net.Dialer{}
 		if r.keepSource {
