--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -41,6 +41,7 @@
 	"large-answer":      largeAnswer,
 	"replica-unheard":   replicaUnheard,
 	"replica-forgotten": replicaForgotten,
+	"leaving-primary":   leavingPrimary,
 }
 
 func main() {
@@ -125,6 +126,9 @@
 	}
 }
 
+// stateGone is the state of a server that has left as planned.
+const stateGone = "gone"
+
 // heartbeatMS and lostBeats say when the platform removes the entry of a silent server.
 const (
 	heartbeatMS = 1200
@@ -139,6 +143,12 @@
 	for {
 		now := state() + s.role()
 		switch {
+		case state() == stateGone:
+			f.record.add("%s has left", s.id)
+			f.store.mu.Lock()
+			f.store.remove("servers", s.id)
+			f.store.mu.Unlock()
+			return
 		case state() == "":
 			if listed && time.Since(last) >= lostBeats*heartbeatMS*time.Millisecond {
 				f.record.add("platform: the entry of %s has expired", s.id)
--- a/review/standins2/servers.go
+++ b/review/standins2/servers.go
@@ -19,6 +19,7 @@
 	slots     int
 	sync      int                        // replicas that have received a commit before it is acknowledged
 	rows      func(item string) []string // of a read
+	onArrive  func(server *server, vmIP, id, text string)
 	onRun     func(server *server, id, text string)
 	onCommit  func(server *server, id string)
 
@@ -50,8 +51,8 @@
 func newGroup(name string) *group {
 	g := &group{
 		name: name, replicate: 20 * time.Millisecond, service: 5 * time.Millisecond, slots: 4, term: 1, servers: map[string]*server{},
-		rows:  func(item string) []string { return []string{"row-of-" + item} },
-		onRun: func(*server, string, string) {}, onCommit: func(*server, string) {},
+		rows:     func(item string) []string { return []string{"row-of-" + item} },
+		onArrive: func(*server, string, string, string) {}, onRun: func(*server, string, string) {}, onCommit: func(*server, string) {},
 	}
 	g.received = sync.NewCond(&g.mu)
 	return g
@@ -136,6 +137,20 @@
 	}
 }
 
+// busiestVM returns the address of the VM with the most connections.
+func (s *server) busiestVM() string {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	count, busiest := map[string]int{}, ""
+	for c := range s.conns {
+		ip, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // always IP:port
+		if count[ip]++; count[ip] > count[busiest] {
+			busiest = ip
+		}
+	}
+	return busiest
+}
+
 func (s *server) role() string {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
@@ -167,6 +182,7 @@
 // serverConn is the state of one connection.
 type serverConn struct {
 	server   *server
+	vmIP     string
 	w        *bufio.Writer
 	state    string
 	writable bool
@@ -199,7 +215,8 @@
 		_, _ = fmt.Fprintf(nc, "ERROR WRONGNODE %s\r\n", s.id) // the connection ends
 		return
 	}
-	c := &serverConn{server: s, w: w, state: "I", prepared: map[string]string{}}
+	ip, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // always IP:port
+	c := &serverConn{server: s, vmIP: ip, w: w, state: "I", prepared: map[string]string{}}
 	c.ready()
 	if w.Flush() != nil {
 		return
@@ -282,6 +299,7 @@
 		_, _ = fmt.Fprintf(c.w, "ROW %s %d %d.%d 0 0 0 %d\r\n", s.role(), term, term, n, conns)
 		c.complete("-")
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
+		s.group.onArrive(s, c.vmIP, id, text)
 		s.slots <- struct{}{}
 		time.Sleep(s.group.service)
 		<-s.slots
