--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -42,6 +42,7 @@
 	"replica-unheard":   replicaUnheard,
 	"replica-forgotten": replicaForgotten,
 	"leaving-primary":   leavingPrimary,
+	"long-idle-limit":   longIdleLimit,
 }
 
 func main() {
@@ -108,13 +109,19 @@
 
 // configure writes the operator's configuration.
 func (f *fleet) configure(service string, syncReplicas int, routes ...map[string]any) {
+	f.configureVersion(7, 3000, service, syncReplicas, routes...)
+}
+
+// configureVersion is configure with a version and the time after which idle transactions may
+// be ended.
+func (f *fleet) configureVersion(version, txIdleMS int, service string, syncReplicas int, routes ...map[string]any) {
 	for _, r := range routes {
 		r["service"], r["path-prefix"], r["max-attempts"] = service, "/", 2
 	}
 	f.store.put("config", "main", map[string]any{
-		"version": 7, "routes": routes,
+		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": service, "health-path": "/health", "max-conns": 55, "protocol": "h1", "tls": false, "sync-replicas": syncReplicas}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tx-idle-ms": 3000},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tx-idle-ms": txIdleMS},
 	})
 }
 
