Add a review case: a late call for the designation before last

It takes the place of the case of a leaving primary, which is the lesser one; the cases are numbered anew by their gravity.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
     echo "build the deploy file and review/build-2.sh first"
     exit 2
 fi
-exec target/standins2 large-answer "$PWD/target/egretroad" review/8/record.txt
+exec target/standins2 replica-forgotten "$PWD/target/egretroad" review/8/record.txt
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
     echo "build the deploy file and review/build-2.sh first"
     exit 2
 fi
-exec target/standins2 leaving-primary "$PWD/target/egretroad" review/9/record.txt
+exec target/standins2 long-idle-limit "$PWD/target/egretroad" review/9/record.txt
--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -28,13 +28,12 @@
 	front, ready, control, own int
 	fleet                      *fleet
 
-	mu      sync.Mutex // guards the fields below
-	cmd     *exec.Cmd
-	done    chan struct{}
-	dark    bool // it is not started again
-	peakMB  int
-	overs   int // ends for too much memory
-	endings []string
+	mu     sync.Mutex // guards the fields below
+	cmd    *exec.Cmd
+	done   chan struct{}
+	dark   bool // it is not started again
+	peakMB int
+	overs  int // ends for too much memory
 }
 
 // fleet is a deployment: the platform's store and API, servers and VMs.
@@ -130,7 +129,7 @@
 revert-slack-ms = 250
 skew-max-ms = 15000
 recovery-s = 12
-fencing-enabled = true
+fencing-enabled = %v
 thaw-slack-ms = 300
 [platform]
 address = %q
@@ -146,7 +145,7 @@
 duties = ["failover"]
 duty-per-s = 50.0
 `, v.name, v.ip, v.zone, v.zone, v.own, v.own, strings.Join(seeds, ","), strings.Join(regions, "\n"),
-		v.address(v.front), v.address(v.ready), v.address(v.control), memoryMB, graceSeconds, v.fleet.storeAddr, v.fleet.storeAddr)
+		v.address(v.front), v.address(v.ready), v.address(v.control), memoryMB, graceSeconds, !v.fleet.store.unfenced, v.fleet.storeAddr, v.fleet.storeAddr)
 }
 
 // start starts the process with the command of the deploy file.
@@ -233,7 +232,7 @@
 	return kb >> 10
 }
 
-// kill kills the process. A dark VM is not started again until light.
+// kill kills the process. A dark VM is not started again.
 func (v *vm) kill(dark bool) {
 	v.mu.Lock()
 	cmd, done := v.cmd, v.done
@@ -245,12 +244,6 @@
 	}
 }
 
-func (v *vm) light() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.dark = false
-}
-
 func (v *vm) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + v.address(v.ready) + "/ready")
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -41,7 +41,7 @@
 	"large-answer":      largeAnswer,
 	"replica-unheard":   replicaUnheard,
 	"replica-forgotten": replicaForgotten,
-	"leaving-primary":   leavingPrimary,
+	"late-call":         lateCall,
 	"long-idle-limit":   longIdleLimit,
 }
 
--- a/review/standins2/servers.go
+++ b/review/standins2/servers.go
@@ -17,11 +17,12 @@
 	replicate time.Duration // until a replica has received a commit
 	service   time.Duration // time of a read, a write or a commit
 	slots     int
-	sync      int                        // replicas that have received a commit before it is acknowledged
-	rows      func(item string) []string // of a read
-	onArrive  func(server *server, vmIP, id, text string)
-	onRun     func(server *server, id, text string)
-	onCommit  func(server *server, id string)
+	sync      int // replicas that have received a commit before it is acknowledged
+	// keepsOld makes a replaced primary go on until STEPDOWN, or for stepsDownAfter.
+	keepsOld bool
+	rows     func(item string) []string // of a read
+	onRun    func(server *server, id, text string)
+	onCommit func(server *server, id string)
 
 	mu       sync.Mutex // guards the fields below
 	received *sync.Cond // signalled when a replica has received commits
@@ -45,14 +46,15 @@
 	log   []string // ids of the commits
 	down  bool
 	deaf  bool // it receives nothing
+	leads bool // as it knows
 	conns map[net.Conn]bool
 }
 
 func newGroup(name string) *group {
 	g := &group{
 		name: name, replicate: 20 * time.Millisecond, service: 5 * time.Millisecond, slots: 4, term: 1, servers: map[string]*server{},
-		rows:     func(item string) []string { return []string{"row-of-" + item} },
-		onArrive: func(*server, string, string, string) {}, onRun: func(*server, string, string) {}, onCommit: func(*server, string) {},
+		rows:  func(item string) []string { return []string{"row-of-" + item} },
+		onRun: func(*server, string, string) {}, onCommit: func(*server, string) {},
 	}
 	g.received = sync.NewCond(&g.mu)
 	return g
@@ -70,7 +72,7 @@
 	if p := g.servers[g.primary]; p != nil {
 		s.log = append(s.log, p.log...)
 	} else {
-		g.primary = id
+		g.primary, s.leads = id, true
 	}
 	g.servers[id] = s
 	go s.accept()
@@ -90,13 +92,33 @@
 	}
 	g.term++
 	g.primary = id
+	s.term, s.leads = g.term, true
 	for _, other := range g.servers {
-		other.term = g.term
-		other.log = append([]string(nil), s.log...)
+		switch {
+		case other == s:
+		case g.keepsOld && other.leads && !other.down:
+			time.AfterFunc(stepsDownAfter, func() {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				other.follow()
+			})
+		default:
+			other.follow()
+		}
 	}
 	return true
 }
 
+// stepsDownAfter is how long a replaced primary goes on that reaches the new one.
+const stepsDownAfter = time.Second
+
+// follow makes a server a replica of the present primary. The caller holds group.mu.
+func (s *server) follow() {
+	if p := s.group.servers[s.group.primary]; p != s && !s.down {
+		s.leads, s.term, s.log = false, s.group.term, append([]string(nil), p.log...)
+	}
+}
+
 // crash stops a server and closes its connections. It keeps its log.
 func (s *server) crash() {
 	s.group.mu.Lock()
@@ -119,8 +141,8 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.listener, s.down = listener, false
-	if p := s.group.servers[s.group.primary]; p != s && !p.down {
-		s.term, s.log = s.group.term, append([]string(nil), p.log...)
+	if p := s.group.servers[s.group.primary]; !p.down {
+		s.follow()
 	}
 	go s.accept()
 	return nil
@@ -137,24 +159,10 @@
 	}
 }
 
-// busiestVM returns the address of the VM with the most connections.
-func (s *server) busiestVM() string {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	count, busiest := map[string]int{}, ""
-	for c := range s.conns {
-		ip, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // always IP:port
-		if count[ip]++; count[ip] > count[busiest] {
-			busiest = ip
-		}
-	}
-	return busiest
-}
-
 func (s *server) role() string {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	if s.group.primary == s.id {
+	if s.leads {
 		return "primary"
 	}
 	return "replica"
@@ -182,7 +190,6 @@
 // serverConn is the state of one connection.
 type serverConn struct {
 	server   *server
-	vmIP     string
 	w        *bufio.Writer
 	state    string
 	writable bool
@@ -215,8 +222,7 @@
 		_, _ = fmt.Fprintf(nc, "ERROR WRONGNODE %s\r\n", s.id) // the connection ends
 		return
 	}
-	ip, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // always IP:port
-	c := &serverConn{server: s, vmIP: ip, w: w, state: "I", prepared: map[string]string{}}
+	c := &serverConn{server: s, w: w, state: "I", prepared: map[string]string{}}
 	c.ready()
 	if w.Flush() != nil {
 		return
@@ -294,12 +300,15 @@
 		c.complete("-")
 	case "STATUS", "STEPDOWN", "PAUSE", "RESUME":
 		s.group.mu.Lock()
+		if below, err := strconv.Atoi(rest); verb == "STEPDOWN" && err == nil && s.leads && s.term < below {
+			s.leads = false
+			s.follow()
+		}
 		term, n, conns := s.term, len(s.log), len(s.conns)
 		s.group.mu.Unlock()
 		_, _ = fmt.Fprintf(c.w, "ROW %s %d %d.%d 0 0 0 %d\r\n", s.role(), term, term, n, conns)
 		c.complete("-")
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
-		s.group.onArrive(s, c.vmIP, id, text)
 		s.slots <- struct{}{}
 		time.Sleep(s.group.service)
 		<-s.slots
@@ -387,7 +396,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, r := range g.servers {
-			if g.term == term && r != s && !r.down && !r.deaf && len(r.log) < n {
+			if g.term == term && g.primary == s.id && r != s && !r.down && !r.deaf && len(r.log) < n {
 				r.log = append(r.log, s.log[len(r.log):n]...)
 			}
 		}
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -44,6 +44,10 @@
 type store struct {
 	// onFailover answers a call: its status, or 0 to answer nothing.
 	onFailover func(failoverCall) int
+	// unfenced makes the platform accept any fencing token.
+	unfenced bool
+	// loses reports whether the answer to a write gets lost; nil: none does.
+	loses func(kind string, spec json.RawMessage) bool
 
 	mu       sync.Mutex // guards the fields below
 	revision uint64
@@ -171,19 +175,29 @@
 	if text := r.URL.Query().Get("revision"); text != "" {
 		condition, _ = strconv.ParseUint(text, 10, 64)
 	}
+	status, body := s.change(r.Method, kind, name, condition, o.Spec)
+	if status == http.StatusOK && s.loses != nil && s.loses(kind, o.Spec) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler) // nothing is answered
+	}
+	respond(w, status, body)
+}
+
+// change executes a write and returns its status and body.
+func (s *store) change(method, kind, name string, condition uint64, spec json.RawMessage) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, found := s.kinds[kind][name]
 	switch {
-	case r.Method == http.MethodPost && found, found && condition != 0 && condition != current.Meta.Revision:
-		respond(w, http.StatusConflict, current)
-	case r.Method != http.MethodPost && !found:
-		w.WriteHeader(http.StatusNotFound)
-	case r.Method == http.MethodDelete:
+	case method == http.MethodPost && found, found && condition != 0 && condition != current.Meta.Revision:
+		return http.StatusConflict, current
+	case method != http.MethodPost && !found:
+		return http.StatusNotFound, struct{}{}
+	case method == http.MethodDelete:
 		s.remove(kind, name)
-		respond(w, http.StatusOK, current)
+		return http.StatusOK, current
 	default:
-		respond(w, http.StatusOK, s.write(kind, name, o.Spec))
+		return http.StatusOK, s.write(kind, name, spec)
 	}
 }
 
@@ -245,7 +259,7 @@
 	c.holder = r.Header.Get("X-Egretroad-Duty-Holder")
 	c.token, _ = strconv.ParseUint(r.Header.Get("X-Egretroad-Fence-Token"), 10, 64)
 	s.mu.Lock()
-	stale := c.token < s.tokens[c.Service]
+	stale := c.token < s.tokens[c.Service] && !s.unfenced
 	s.tokens[c.Service] = max(c.token, s.tokens[c.Service])
 	s.mu.Unlock()
 	if stale {
