--- a/review/standins2/fleet_test.go
+++ b/review/standins2/fleet_test.go
@@ -194,7 +194,11 @@
 		select {
 		case <-done:
 			if !dark {
-				time.Sleep(time.Second)
+				select {
+				case <-v.fleet.stopping:
+					return
+				case <-time.After(time.Second):
+				}
 				v.fleet.record.add("platform starts %s again", v.name)
 				if err := v.start(); err != nil {
 					v.fleet.record.add("%s does not start: %v", v.name, err)
--- a/review/standins2/largeanswer_test.go
+++ b/review/standins2/largeanswer_test.go
@@ -38,7 +38,7 @@
 		return all
 	}
 	g.onRun = func(s *server, id, text string) { f.record.add("server %s runs %s %s", s.id, id, text) }
-	if err := f.startPlatform(g); err != nil {
+	if err := f.startPlatform(g, leadsNow); err != nil {
 		return failure, err.Error()
 	}
 	for _, zone := range zones {
--- a/review/standins2/latecall_test.go
+++ b/review/standins2/latecall_test.go
@@ -50,7 +50,7 @@
 func lateCall(f *fleet, trouble bool) (verdict, string) {
 	g := newGroup("archivio1")
 	g.keepsOld = true
-	if err := f.startPlatform(g); err != nil {
+	if err := f.startPlatform(g, leadsNow); err != nil {
 		return failure, err.Error()
 	}
 	f.store.unfenced = true
@@ -69,7 +69,9 @@
 			taken <- c.ID
 			if trouble {
 				f.record.add("platform: %s with token %d calls for the failover to %s; not answered", c.holder, c.token, c.ID)
-				time.AfterFunc(lateBy, func() { f.record.add("platform carries out the first call, for %s, late: %v", c.ID, g.promote(c.ID)) })
+				time.AfterFunc(lateBy, func() {
+					f.record.add("platform carries out the first call, for %s, late: %v", c.ID, g.callFailover(c.ID, leadsNow))
+				})
 				return 0
 			}
 		}
--- a/review/standins2/longidlelimit_test.go
+++ b/review/standins2/longidlelimit_test.go
@@ -20,7 +20,7 @@
 // processes are killed right after the configuration has been acknowledged.
 func longIdleLimit(f *fleet, trouble bool) (verdict, string) {
 	g := newGroup("leche1")
-	if err := f.startPlatform(g); err != nil {
+	if err := f.startPlatform(g, leadsNow); err != nil {
 		return failure, err.Error()
 	}
 	for _, zone := range zones {
--- a/review/standins2/main_test.go
+++ b/review/standins2/main_test.go
@@ -192,16 +192,20 @@
 	}
 }
 
-// startPlatform starts the store and the API for failovers, which promotes servers of a group.
-func (f *fleet) startPlatform(g *group) error {
+// startPlatform starts the store and the API for failovers. onLead is called, with the group
+// locked, when a server is about to lead.
+func (f *fleet) startPlatform(g *group, onLead func(*server)) error {
 	var err error
 	f.store, f.storeAddr, err = startStore(func(c failoverCall) int {
-		promoted := g.promote(c.ID)
-		f.record.add("platform: %s with token %d calls for the failover of %s to %s: %v", c.holder, c.token, c.Service, c.ID, promoted)
-		if promoted {
+		accepted := g.callFailover(c.ID, onLead)
+		f.record.add("platform: %s with token %d calls for the failover of %s to %s: %v", c.holder, c.token, c.Service, c.ID, accepted)
+		if accepted {
 			return 200
 		}
 		return 409
 	})
 	return err
 }
+
+// leadsNow is an onLead that checks nothing.
+func leadsNow(*server) {}
--- a/review/standins2/replicaunheard_test.go
+++ b/review/standins2/replicaunheard_test.go
@@ -26,11 +26,12 @@
 	})
 }
 
-// replicaForgotten is the same with entries that expire together, while all VMs are restarted
-// in turn, as planned.
+// replicaForgotten is the same, but the entry of the primary expires first, and all VMs are
+// restarted in turn meanwhile, as planned.
 func replicaForgotten(f *fleet, trouble bool) (verdict, string) {
 	return f.playCrash(trouble, crashTimes{
 		deafAt: 2 * time.Second, crashAt: 4500 * time.Millisecond, end: 25 * time.Second, restartPause: 2 * time.Second,
+		otherOffset: 150 * time.Millisecond,
 	})
 }
 
@@ -39,6 +40,7 @@
 	deafAt, crashAt, end time.Duration
 	restartPause         time.Duration // between the planned stops of two VMs; 0: none is stopped
 	primaryOffset        time.Duration // of the primary's heartbeats
+	otherOffset          time.Duration // of those of the other replica that crashes
 	beatAge              time.Duration // of the primary's last heartbeat at the crash; 0: any
 }
 
@@ -48,18 +50,20 @@
 	g.onCommit = func(s *server, id string) { f.record.add("server %s commits %s", s.id, id) }
 	var lost atomic.Int64
 	var acked acknowledged
-	if err := f.startPlatform(g); err != nil {
+	if err := f.startPlatform(g, func(s *server) { f.checkPromotion(s, &acked, &lost) }); err != nil {
 		return failure, err.Error()
 	}
-	f.store.onFailover = checkPromotion(f, g, &acked, &lost, f.store.onFailover)
 	var crashed atomic.Bool
 	for _, zone := range zones {
 		s, err := g.add("i-"+zone, zone)
 		if err != nil {
 			return failure, err.Error()
 		}
-		if zone == "mixco" {
+		switch zone {
+		case "mixco":
 			s.beatOffset = t.primaryOffset
+		case "xela":
+			s.beatOffset = t.otherOffset
 		}
 		go f.beat(s, func() string {
 			if zone != "zacapa" && crashed.Load() {
@@ -149,31 +153,21 @@
 	return len(a.ids)
 }
 
-// checkPromotion checks before each promotion which acknowledged commits the server lacks.
-func checkPromotion(f *fleet, g *group, acked *acknowledged, lost *atomic.Int64, promote func(failoverCall) int) func(failoverCall) int {
-	return func(c failoverCall) int {
-		acked.mu.Lock()
-		ids := append([]string(nil), acked.ids...)
-		acked.mu.Unlock()
-		g.mu.Lock()
-		isPrimary, has := g.primary == c.ID, map[string]bool{}
-		if s := g.servers[c.ID]; s != nil {
-			for _, id := range s.log {
-				has[id] = true
-			}
-		}
-		g.mu.Unlock()
-		status := promote(c)
-		if status != 200 || isPrimary {
-			return status
-		}
-		for _, id := range ids {
-			if !has[id] {
-				lost.Add(1)
-				f.record.add("LOST: commit %s was acknowledged and is not in the log of %s, which is promoted", id, c.ID)
-			}
+// checkPromotion checks, when a server is about to lead, which acknowledged commits it lacks.
+// The caller holds the group's mutex.
+func (f *fleet) checkPromotion(s *server, acked *acknowledged, lost *atomic.Int64) {
+	has := map[string]bool{}
+	for _, id := range s.log {
+		has[id] = true
+	}
+	f.record.add("platform: %s leads from now on", s.id)
+	acked.mu.Lock()
+	defer acked.mu.Unlock()
+	for _, id := range acked.ids {
+		if !has[id] {
+			lost.Add(1)
+			f.record.add("LOST: commit %s was acknowledged and is not in the log of %s, which is promoted", id, s.id)
 		}
-		return status
 	}
 }
 
--- a/review/standins2/servers_test.go
+++ b/review/standins2/servers_test.go
@@ -30,6 +30,7 @@
 	received *sync.Cond // signalled when a replica has received commits
 	term     int
 	primary  string
+	next     string // named by a call that has not taken effect yet
 	servers  map[string]*server
 }
 
@@ -47,8 +48,9 @@
 	term  int
 	log   []string // ids of the commits
 	down  bool
-	deaf  bool // it receives nothing
-	leads bool // as it knows
+	deaf  bool      // it receives nothing
+	leads bool      // as it knows
+	busy  time.Time // until then, after a part of its log was rolled back
 	conns map[net.Conn]bool
 }
 
@@ -81,19 +83,40 @@
 	return s, nil
 }
 
-// promote makes a server the primary of the next term and reports whether it runs.
-func (g *group) promote(id string) bool {
+// promoteAfter is how long after a call the server named leads, as in the deployments.
+const promoteAfter = 300 * time.Millisecond
+
+// callFailover makes a server the primary of the next term a little later, with what it has
+// received by then, and reports whether it runs. onLead is called at that moment, with the
+// group locked.
+func (g *group) callFailover(id string, onLead func(*server)) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.servers[id]
 	if s == nil || s.down {
 		return false
 	}
-	if g.primary == id {
-		return true
+	if g.primary == id || g.next == id {
+		return true // nothing changes, or it is on its way
 	}
+	g.next = id
+	time.AfterFunc(promoteAfter, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.next != id || s.down {
+			return
+		}
+		g.next = ""
+		onLead(s)
+		g.lead(s)
+	})
+	return true
+}
+
+// lead makes a server the primary of the next term. The caller holds mu.
+func (g *group) lead(s *server) {
 	g.term++
-	g.primary = id
+	g.primary = s.id
 	s.term, s.leads = g.term, true
 	for _, other := range g.servers {
 		switch {
@@ -108,15 +131,20 @@
 			other.follow()
 		}
 	}
-	return true
 }
 
+// busyAfterRollback is how long a server is busy of which a part of the log was rolled back.
+const busyAfterRollback = 200 * time.Millisecond
+
 // stepsDownAfter is how long a replaced primary goes on that reaches the new one.
 const stepsDownAfter = time.Second
 
 // follow makes a server a replica of the present primary. The caller holds group.mu.
 func (s *server) follow() {
 	if p := s.group.servers[s.group.primary]; p != s && !s.down {
+		if len(s.log) > len(p.log) {
+			s.busy = time.Now().Add(busyAfterRollback)
+		}
 		s.leads, s.term, s.log = false, s.group.term, append([]string(nil), p.log...)
 	}
 }
@@ -161,6 +189,12 @@
 	}
 }
 
+func (s *server) isBusy() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return time.Now().Before(s.busy)
+}
+
 func (s *server) role() string {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
@@ -301,6 +335,12 @@
 		c.keep(verb, rest)
 		c.complete("-")
 	case "STATUS", "STEPDOWN", "PAUSE", "RESUME":
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
+		if s.isBusy() {
+			c.fail("BUSY")
+			return
+		}
 		s.group.mu.Lock()
 		if below, err := strconv.Atoi(rest); verb == "STEPDOWN" && err == nil && s.leads && s.term < below {
 			s.leads = false
@@ -314,6 +354,10 @@
 		s.slots <- struct{}{}
 		time.Sleep(s.group.service)
 		<-s.slots
+		if s.isBusy() {
+			c.fail("BUSY")
+			return
+		}
 		c.work(id, text, verb, rest, primary)
 	default:
 		c.fail("MALFORMED")
