--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/egretroad ] && [ -x target/review/standin3 ] || exit 2
-exec target/review/standin3 -case zone -record review/12/record.txt
+exec target/review/standin3 -case join -record review/12/record.txt
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,11 +37,14 @@
 
 // fleet is the proxies, their links to each other and the front of the platform.
 type fleet struct {
-	group  *group
-	dir    string
-	facade *http.Server
-	front  net.Listener
-	vms    []*vm
+	group   *group
+	dir     string
+	command string // of the deploy file
+	facade  *http.Server
+	front   net.Listener
+	fenced  bool
+	mu      sync.Mutex // guards vms
+	vms     []*vm
 }
 
 var regions struct {
@@ -66,7 +70,7 @@
 func (f *fleet) cutFromPlatform(ip string) bool {
 	f.group.mu.Lock()
 	defer f.group.mu.Unlock()
-	for _, v := range f.vms {
+	for _, v := range f.all() {
 		if v.ip == ip {
 			return f.group.fromPlatform(v.zone, v.region)
 		}
@@ -74,21 +78,45 @@
 	return false
 }
 
-// newFleet prepares one VM in each zone. Their entries exist before they start, so that no VM
+// add prepares another VM, which does not run yet.
+func (f *fleet) add(zone string) (*vm, error) {
+	region := regionOld
+	if zone == "c" {
+		region = regionNew
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pid, n := os.Getpid(), len(f.vms)+1
+	v := &vm{name: fmt.Sprintf("vm-%s-%d", zone, n), zone: zone, region: region, ip: fmt.Sprintf("127.%d.%d.%d", 100+pid%100, 1+pid/100%250, n)}
+	regions.Lock()
+	regions.byIP[v.ip] = v.region
+	regions.Unlock()
+	var err error
+	if v.relay, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	go f.serveRelay(v)
+	f.vms = append(f.vms, v)
+	return v, nil
+}
+
+// all returns the VMs so far.
+func (f *fleet) all() []*vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
+// newFleet prepares a VM in each of the given zones. Their entries exist before they start, so that no VM
 // learns the address of another one past its relay.
-func newFleet(g *group, dir string) (*fleet, error) {
-	f := &fleet{group: g, dir: dir}
+func newFleet(g *group, dir, command string, zones ...string) (*fleet, error) {
+	f := &fleet{group: g, dir: dir, command: command, fenced: !g.keepsOld}
 	regions.byIP = map[string]string{}
-	pid := os.Getpid()
-	for i, place := range [][2]string{{"a", regionOld}, {"b", regionOld}, {"c", regionNew}} {
-		v := &vm{name: "vm-" + place[0], zone: place[0], region: place[1], ip: fmt.Sprintf("127.%d.%d.%d", 100+pid%100, 1+pid/100%250, i+1)}
-		regions.byIP[v.ip] = v.region
-		var err error
-		if v.relay, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	for _, zone := range zones {
+		v, err := f.add(zone)
+		if err != nil {
 			return nil, err
 		}
-		go f.serveRelay(v)
-		f.vms = append(f.vms, v)
 		g.store.Put("egretroad-vms", v.name, map[string]any{
 			"id": v.name, "dataCentre": v.zone, "region": v.region, "peerAddr": v.address(controlPort), "callerAddr": v.address(frontPort), "state": "live",
 		})
@@ -186,7 +214,7 @@
 	for _, item := range items {
 		o, _ := item.(map[string]any)
 		spec, _ := o["spec"].(map[string]any)
-		for _, v := range f.vms {
+		for _, v := range f.all() {
 			if spec != nil && spec["id"] == v.name {
 				spec["peerAddr"] = v.relay.Addr().String()
 			}
@@ -233,7 +261,7 @@
 stable-window-ms = 5000
 drain-ms = 7000
 grace-s = 6
-fencing-enabled = true
+fencing-enabled = %t
 [platform]
 address = %q
 form = "objects"
@@ -247,25 +275,12 @@
 duties = ["failover"]
 duty-per-s = 50.0
 `, v.name, v.ip, v.zone, v.region, statusPort, statusPort+10, regionOld, regionOld, regionNew,
-		v.address(frontPort), v.address(readyPort), v.address(controlPort), f.front.Addr(), f.front.Addr())
+		v.address(frontPort), v.address(readyPort), v.address(controlPort), f.fenced, f.front.Addr(), f.front.Addr())
 }
 
-// start starts a VM's proxy with the command of the deploy file and waits until it is ready.
-func (f *fleet) start(v *vm, command string) error {
-	file := filepath.Join(f.dir, v.name+".toml")
-	if err := os.WriteFile(file, []byte(f.settings(v)), 0o600); err != nil {
-		return err
-	}
-	log, err := os.Create(filepath.Join(f.dir, v.name+".log"))
-	if err != nil {
-		return err
-	}
-	words := strings.Fields(command)
-	v.log, v.cmd = log, exec.Command(words[0], words[1:]...)
-	v.cmd.Env = append(os.Environ(), "EGRETROAD_NODE_FILE="+file)
-	v.cmd.Stdout, v.cmd.Stderr = log, log
-	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := v.cmd.Start(); err != nil {
+// start starts a VM's proxy and waits until it is ready.
+func (f *fleet) start(v *vm) error {
+	if err := f.launch(v, f.command); err != nil {
 		return err
 	}
 	for range 400 {
@@ -282,13 +297,37 @@
 	return fmt.Errorf("%s is not ready", v.name)
 }
 
+// launch starts a VM's proxy with the command of the deploy file.
+func (f *fleet) launch(v *vm, command string) error {
+	file := filepath.Join(f.dir, v.name+".toml")
+	if err := os.WriteFile(file, []byte(f.settings(v)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(f.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	words := strings.Fields(command)
+	v.log, v.cmd = log, exec.Command(words[0], words[1:]...)
+	v.cmd.Env = append(os.Environ(), "EGRETROAD_NODE_FILE="+file)
+	v.cmd.Stdout, v.cmd.Stderr = log, log
+	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return v.cmd.Start()
+}
+
+// kill ends the VM's process, if there is one.
+func (v *vm) kill() {
+	if v.cmd != nil && v.cmd.Process != nil {
+		_ = v.cmd.Process.Kill()
+		_ = v.cmd.Wait()
+		_ = v.log.Close()
+		v.cmd = nil
+	}
+}
+
 // stop ends all processes.
 func (f *fleet) stop() {
-	for _, v := range f.vms {
-		if v.cmd != nil && v.cmd.Process != nil {
-			_ = v.cmd.Process.Kill()
-			_ = v.cmd.Wait()
-			_ = v.log.Close()
-		}
+	for _, v := range f.all() {
+		v.kill()
 	}
 }
--- a/review/standin3/group.go
+++ b/review/standin3/group.go
@@ -57,11 +57,18 @@
 	mu      sync.Mutex
 	servers []*server
 	term    uint64
-	cut     bool   // region r1 is cut off from region r2 and from the platform
-	zoneCut string // zone that is cut off from the platform only
-	acked   map[string]bool
-	lost    []string // acknowledged commits that a promoted server lacks
-	wins    []string // servers promoted
+	cut     bool    // region r1 is cut off from region r2 and from the platform
+	zoneCut string  // zone that is cut off from the platform only
+	sync    int     // replicas that must have received a commit
+	leader  *server // promoted last
+	// keepsOld makes a replaced primary go on until it is told to step down, or for a second after
+	// it can reach the new one.
+	keepsOld bool
+	late     map[string]bool // commits at a replaced primary after the promotion
+	stale    int             // of these, acknowledged to a client
+	acked    map[string]bool
+	lost     []string // acknowledged commits that a promoted server lacks
+	wins     []string // servers promoted
 }
 
 const (
@@ -70,7 +77,7 @@
 )
 
 func newGroup(store *metastore.Store, rec *record) (*group, error) {
-	g := &group{store: store, record: rec, term: 1, acked: map[string]bool{}}
+	g := &group{store: store, record: rec, term: 1, sync: 1, acked: map[string]bool{}, late: map[string]bool{}}
 	for i, place := range []struct{ id, zone, region string }{{"s-a", "a", regionOld}, {"s-b", "b", regionOld}, {"s-c", "c", regionNew}} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -164,28 +171,61 @@
 		return
 	}
 	g.term++
-	s.term, s.primary = g.term, true
+	s.term, s.primary, g.leader = g.term, true, s
 	g.wins = append(g.wins, s.id)
 	has := map[string]bool{}
 	for _, e := range s.log {
 		has[e.id] = true
 	}
 	for id := range g.acked {
-		if !has[id] {
+		if g.sync > 0 && !has[id] {
 			g.lost = append(g.lost, id)
 		}
 	}
 	slices.Sort(g.lost)
-	g.record.event("%s leads term %d with %d commits; acknowledged before: %d, of which it lacks %d", s.id, g.term, len(s.log), len(g.acked), len(g.lost))
+	if g.sync == 0 {
+		g.record.event("%s leads term %d with %d commits", s.id, g.term, len(s.log))
+	} else {
+		g.record.event("%s leads term %d with %d commits; acknowledged before: %d, of which it lacks %d", s.id, g.term, len(s.log), len(g.acked), len(g.lost))
+	}
 	for _, other := range g.servers {
-		if other != s {
-			other.primary = false // "The old primary loses leadership at that moment."
-			go g.follow(s, other)
+		if other == s {
+			continue
+		}
+		if other.primary && g.keepsOld {
+			go g.stepDownOnceReachable(s, other)
+			continue
 		}
+		other.primary = false // "The old primary loses leadership at that moment."
+		go g.follow(s, other)
 	}
 	s.register()
 }
 
+// stepDownOnceReachable makes a replaced primary a replica a second after it can reach the new one.
+func (g *group) stepDownOnceReachable(leader, old *server) {
+	var reached time.Time
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		g.mu.Lock()
+		switch {
+		case !old.primary:
+			g.mu.Unlock()
+			return
+		case g.separated(leader.region, old.region):
+			reached = time.Time{}
+		case reached.IsZero():
+			reached = time.Now()
+		case time.Since(reached) >= time.Second:
+			old.primary = false
+			old.register()
+			g.mu.Unlock()
+			go g.follow(leader, old)
+			return
+		}
+		g.mu.Unlock()
+	}
+}
+
 // follow makes a replica take over the log of the primary, once it can reach it.
 func (g *group) follow(primary, replica *server) {
 	for {
@@ -222,6 +262,9 @@
 		return false
 	}
 	s.log = append(s.log, entry{term: s.term, id: id})
+	if g.leader != nil && g.leader != s {
+		g.late[id] = true
+	}
 	number, term := len(s.log), s.term
 	copied := make(chan bool, len(g.servers))
 	for _, r := range g.servers {
@@ -229,7 +272,11 @@
 			go func() { copied <- g.replicate(s, r, number, term) }()
 		}
 	}
+	need := g.sync
 	g.mu.Unlock()
+	if need == 0 {
+		return true
+	}
 	for range len(g.servers) - 1 {
 		if <-copied {
 			return true
@@ -305,6 +352,21 @@
 	g.record.event("%s is back with %d commits", id, len(s.log))
 }
 
+// restartAs starts a crashed server with its log under a new ID at its address. The entry under
+// the old one expires.
+func (g *group) restartAs(id, newID string) {
+	g.mu.Lock()
+	s := g.server(id)
+	expires := entryLifetime - time.Since(s.lastBeat)
+	s.id = newID
+	g.mu.Unlock()
+	time.AfterFunc(expires, func() {
+		g.store.Delete("servers", id)
+		g.record.event("entry of %s expired", id)
+	})
+	g.restart(newID, true)
+}
+
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -53,6 +53,39 @@
 
 var lastID atomic.Uint64
 
+// request is a client's write and whether it was served.
+type request struct {
+	sent   time.Time
+	served bool
+}
+
+// requests are all writes that have ended.
+var requests struct {
+	sync.Mutex
+	all []request
+}
+
+func count(r request) {
+	requests.Lock()
+	defer requests.Unlock()
+	requests.all = append(requests.all, r)
+}
+
+// servedBetween counts the requests that were sent in a period.
+func servedBetween(from, to time.Time) (served, sent int) {
+	requests.Lock()
+	defer requests.Unlock()
+	for _, r := range requests.all {
+		if r.sent.After(from) && r.sent.Before(to) {
+			sent++
+			if r.served {
+				served++
+			}
+		}
+	}
+	return served, sent
+}
+
 // write runs one client's session: single writes, one after the other, until stop is closed.
 func write(g *group, v *vm, stop <-chan struct{}) {
 	for {
@@ -86,6 +119,7 @@
 		}
 		id := fmt.Sprintf("w%06x", lastID.Add(1))
 		g.record.line("sent", "%s %s WRITE item%s x", v.name, id, id)
+		r0 := request{sent: time.Now()}
 		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 		fmt.Fprintf(conn, "QUERY %s WRITE item%s x\r\n", id, id)
 		answer := ""
@@ -93,6 +127,7 @@
 			line, err := r.ReadString('\n')
 			if err != nil {
 				g.record.line("answer", "%s %s none: %v", v.name, id, err)
+				count(r0)
 				return
 			}
 			line = strings.TrimSpace(line)
@@ -104,8 +139,13 @@
 		if strings.HasPrefix(answer, "COMPLETE sig.") {
 			g.mu.Lock()
 			g.acked[id] = true
+			if g.late[id] {
+				g.stale++
+			}
 			g.mu.Unlock()
+			r0.served = true
 		}
+		count(r0)
 		g.record.line("answer", "%s %s %.120s", v.name, id, answer)
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -113,13 +153,17 @@
 
 // scenario is the disruption of a case, and what is awaited after it.
 type scenario struct {
-	play     func(g *group, trouble bool)
+	play     func(g *group, f *fleet, trouble bool)
 	sessions int // clients at each VM
+	// unsynced is set for a group without synchronous replicas, on a platform that neither checks
+	// fences nor stops a replaced primary.
+	unsynced bool
+	zones    []string // of the VMs
 }
 
 // cutRegion cuts region r1, with the primary and one replica, off from r2 with the other replica
 // and the platform.
-func cutRegion(g *group, trouble bool) {
+func cutRegion(g *group, _ *fleet, trouble bool) {
 	time.Sleep(4 * time.Second)
 	if trouble {
 		g.mu.Lock()
@@ -136,7 +180,7 @@
 
 // crashTwo crashes the primary and a replica together. The replica starts again after 2 s and
 // holds nothing; the primary comes back with its log after 7 s.
-func crashTwo(g *group, trouble bool) {
+func crashTwo(g *group, _ *fleet, trouble bool) {
 	time.Sleep(4 * time.Second)
 	if !trouble {
 		time.Sleep(16 * time.Second)
@@ -153,7 +197,7 @@
 
 // cutZone cuts zone b, with a replica, off from the platform only. The primary crashes 45 s
 // later.
-func cutZone(g *group, trouble bool) {
+func cutZone(g *group, _ *fleet, trouble bool) {
 	time.Sleep(4 * time.Second)
 	if !trouble {
 		time.Sleep(50 * time.Second)
@@ -169,6 +213,104 @@
 	g.restart("s-a", true)
 }
 
+// recovery is RECOVER's bound, recoveryWindow how long requests are counted after it.
+const (
+	recovery       = 12 * time.Second
+	recoveryWindow = 15 * time.Second
+)
+
+var unrecovered bool // RECOVER is broken
+
+// crashInTurn crashes the primary twice, 12 s apart. Each time the server comes back with its log
+// under a new ID. Then all proxies are killed and started again.
+func crashInTurn(g *group, f *fleet, trouble bool) {
+	began := time.Now()
+	time.Sleep(4 * time.Second)
+	if trouble {
+		g.crash("s-a")
+		time.Sleep(3 * time.Second)
+		g.restartAs("s-a", "s-a2")
+		time.Sleep(9 * time.Second)
+		g.mu.Lock()
+		leader := ""
+		for _, s := range g.servers {
+			if s.primary {
+				leader = s.id
+			}
+		}
+		g.mu.Unlock()
+		g.crash(leader)
+		time.Sleep(3 * time.Second)
+		g.restartAs(leader, leader+"2")
+		time.Sleep(2 * time.Second)
+	} else {
+		time.Sleep(17 * time.Second)
+	}
+	fault := time.Now()
+	for _, v := range f.all() {
+		v.kill()
+	}
+	g.record.event("all proxies are killed")
+	time.Sleep(time.Second)
+	for _, v := range f.all() {
+		if err := f.launch(v, f.command); err != nil {
+			g.record.event("cannot start %s: %v", v.name, err)
+		}
+	}
+	back := time.Now()
+	g.record.event("all proxies are started")
+	time.Sleep(recovery + recoveryWindow + 5*time.Second)
+	before, sentBefore := servedBetween(began, fault)
+	after, sentAfter := servedBetween(back.Add(recovery), back.Add(recovery+recoveryWindow))
+	unrecovered = 4*before >= sentBefore && 4*after < sentAfter
+	g.record.event("served before the final fault: %d of %d; sent later than 12 s after the start: %d of %d served", before, sentBefore, after, sentAfter)
+	fmt.Printf("served before the final fault: %d of %d; sent later than 12 s after the start: %d of %d served\n", before, sentBefore, after, sentAfter)
+}
+
+// joinAndRestart cuts the two regions off from each other. A VM is added in the region of the
+// platform, and then the three VMs there are killed together and start again.
+func joinAndRestart(g *group, f *fleet, trouble bool) {
+	time.Sleep(16 * time.Second) // all VMs have been listed for longer than any list that they know
+	if trouble {
+		g.mu.Lock()
+		g.cut = true
+		g.mu.Unlock()
+		g.record.event("region %s is cut off from region %s", regionOld, regionNew)
+	}
+	time.Sleep(300 * time.Millisecond)
+	v, err := f.add("c")
+	if err == nil {
+		err = f.launch(v, f.command)
+	}
+	if err != nil {
+		g.record.event("no VM can be added: %v", err)
+		return
+	}
+	g.record.event("VM %s is added", v.name)
+	if !trouble {
+		time.Sleep(18 * time.Second)
+		return
+	}
+	time.Sleep(2900 * time.Millisecond)
+	for _, v := range f.all() {
+		if v.region == regionNew {
+			v.kill()
+		}
+	}
+	g.record.event("the VMs of region %s are killed", regionNew)
+	time.Sleep(time.Second)
+	for _, v := range f.all() {
+		if v.region == regionNew {
+			if err := f.launch(v, f.command); err != nil {
+				g.record.event("cannot start %s: %v", v.name, err)
+			}
+		}
+	}
+	g.record.event("they are started")
+	g.awaitPromotion(16 * time.Second)
+	time.Sleep(4 * time.Second)
+}
+
 // awaitPromotion waits until a server has been promoted or the time has passed.
 func (g *group) awaitPromotion(limit time.Duration) {
 	deadline := time.Now().Add(limit)
@@ -185,7 +327,7 @@
 }
 
 func main() {
-	name := flag.String("case", "", "cut, crash or zone")
+	name := flag.String("case", "", "cut, zone, crash, recover or join")
 	out := flag.String("record", "record.txt", "file for the record")
 	command := flag.String("node", "target/egretroad node", "command of the deploy file")
 	flag.Parse()
@@ -193,7 +335,13 @@
 }
 
 func run(name, out, command string, trouble bool) int {
-	s, known := map[string]scenario{"cut": {cutRegion, 2}, "crash": {crashTwo, 4}, "zone": {cutZone, 3}}[name]
+	s, known := map[string]scenario{
+		"cut": {play: cutRegion, sessions: 2}, "crash": {play: crashTwo, sessions: 4}, "zone": {play: cutZone, sessions: 3},
+		"recover": {play: crashInTurn, sessions: 3}, "join": {play: joinAndRestart, sessions: 2, unsynced: true, zones: []string{"a", "b", "c", "c"}},
+	}[name]
+	if s.zones == nil {
+		s.zones = []string{"a", "b", "c"}
+	}
 	rec, err := newRecord(out)
 	if !known || err != nil {
 		fmt.Fprintln(os.Stderr, "cannot run:", name, err)
@@ -216,13 +364,18 @@
 	defer store.Close()
 	store.OmitEra()
 	store.PageSize = 500
+	synced := 1
+	if s.unsynced {
+		synced = 0
+		store.AcceptStaleTokens()
+	}
 	store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
 			"name": "r-orders", "host": "orderdb", "path-prefix": "/", "route-kind": "primary", "timeout-ms": 800, "target-latency-ms": 500,
 			"priority": 0, "service": serviceName, "max-attempts": 2,
 		}},
-		"services": []map[string]any{{"name": serviceName, "health-path": "/health", "max-conns": 16, "protocol": "h1", "tls": false, "sync-replicas": 1}},
+		"services": []map[string]any{{"name": serviceName, "health-path": "/health", "max-conns": 16, "protocol": "h1", "tls": false, "sync-replicas": synced}},
 		"limits":   map[string]any{"tx-idle-ms": 3000},
 	})
 	g, err := newGroup(store, rec)
@@ -230,37 +383,39 @@
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		return 2
 	}
-	f, err := newFleet(g, dir)
+	g.sync, g.keepsOld = synced, s.unsynced
+	f, err := newFleet(g, dir, command, s.zones...)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		return 2
 	}
 	defer f.stop()
 	time.Sleep(200 * time.Millisecond) // the servers register
-	for _, v := range f.vms {
-		if err := f.start(v, command); err != nil {
+	for _, v := range f.all() {
+		if err := f.start(v); err != nil {
 			fmt.Fprintln(os.Stderr, "cannot run:", err)
 			return 2
 		}
 	}
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
-	for _, v := range f.vms {
+	for _, v := range f.all() {
 		for range s.sessions {
 			go write(g, v, stop)
 		}
 	}
-	s.play(g, trouble)
+	s.play(g, f, trouble)
 	close(stop)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rec.event("acknowledged %d, promoted %v, acknowledged and not in the log of the promoted server: %d %.200s", len(g.acked), g.wins, len(g.lost), strings.Join(g.lost, " "))
-	fmt.Printf("acknowledged %d, promoted %v, lost %d\n", len(g.acked), g.wins, len(g.lost))
+	rec.event("acknowledged commits of a replaced primary after the promotion: %d", g.stale)
+	fmt.Printf("acknowledged %d, promoted %v, lost %d, committed at a replaced primary and acknowledged %d\n", len(g.acked), g.wins, len(g.lost), g.stale)
 	switch {
 	case len(g.acked) < 50:
 		fmt.Println("too few writes were served")
 		return 2
-	case len(g.lost) > 0:
+	case len(g.lost) > 0 || g.stale > 0 || unrecovered:
 		return 1
 	default:
 		return 0
