--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/egretroad ] && [ -x target/review/standin3 ] || exit 2
-exec target/review/standin3 -case join -record review/12/record.txt
+[ -x target/egretroad ] && [ -x target/standins3 ] || exit 2
+exec target/standins3 -case join -record review/12/record.txt
--- a/review/standin3/fleet.go
+++ b/review/standins3/fleet_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package standins3
 
 import (
 	"bytes"
--- a/review/standin3/main.go
+++ b/review/standins3/main_test.go
@@ -1,8 +1,10 @@
-// Command standin3 plays the cases of the third review that are scripts: it starts real proxies
+//go:build review
+
+// Package standins3 plays the cases of the third review that are scripts: it starts real proxies
 // as processes between stand-ins of the platform, the database servers and the clients, and
 // checks one rule. The exit status is 1 if the rule was broken, 0 if it held and 2 if the case
 // could not run.
-package main
+package standins3
 
 import (
 	"bufio"
@@ -13,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"egretroad/internal/standin/metastore"
@@ -326,11 +329,15 @@
 	time.Sleep(time.Second)
 }
 
-func main() {
-	name := flag.String("case", "", "cut, zone, crash, recover or join")
+// TestMain plays a case instead of tests, if one is named.
+func TestMain(m *testing.M) {
+	name := flag.String("case", "", "cut, join, zone, crash or recover")
 	out := flag.String("record", "record.txt", "file for the record")
 	command := flag.String("node", "target/egretroad node", "command of the deploy file")
 	flag.Parse()
+	if *name == "" {
+		os.Exit(m.Run())
+	}
 	os.Exit(run(*name, *out, *command, os.Getenv("TROUBLE") != "0"))
 }
 
