Deliver what is on its way at a crash in the review's stand-ins, and drop a case

The stand-in lost commits that were on their way to a replica when the primary crashed, which a sound server does not; cases 13 and 14 rested on it.

--- a/review/standins3/group_test.go
+++ b/review/standins3/group_test.go
@@ -45,6 +45,7 @@
 	term             uint64
 	primary          bool
 	down             bool
+	deaf             bool // receives nothing from the primary
 	conns            map[net.Conn]bool
 	lastBeat         time.Time // last heartbeat that reached the store
 	received         *sync.Cond
@@ -236,7 +237,7 @@
 			g.mu.Unlock()
 			return
 		}
-		if !primary.down && !replica.down && !g.separated(primary.region, replica.region) {
+		if !primary.down && !replica.down && !replica.deaf && !g.separated(primary.region, replica.region) {
 			replica.log, replica.term = slices.Clone(primary.log), primary.term
 			replica.received.Broadcast()
 			g.mu.Unlock()
@@ -287,15 +288,16 @@
 	return false
 }
 
-// replicate sends one commit to a replica, which receives commits in their order.
+// replicate sends one commit to a replica, which receives commits in their order. What is on its
+// way when the primary crashes still arrives; a cut of the link loses it.
 func (g *group) replicate(s, r *server, number int, term uint64) bool {
 	time.Sleep(link(s, r))
 	deadline := time.Now().Add(deadConnTimeout)
 	for time.Now().Before(deadline) {
 		g.mu.Lock()
-		if s.down || r.down || !s.primary || s.term != term || g.separated(s.region, r.region) {
+		if r.down || r.deaf || r.primary || r.term > term || g.separated(s.region, r.region) {
 			g.mu.Unlock()
-			return false // the connection between them has ended; what it held is lost
+			return false
 		}
 		if len(r.log) >= number {
 			g.mu.Unlock()
@@ -312,6 +314,26 @@
 	return false
 }
 
+// deafen makes a replica receive nothing for a while. Afterwards it catches up with the primary.
+func (g *group) deafen(id string, period time.Duration) {
+	g.mu.Lock()
+	s := g.server(id)
+	s.deaf = true
+	g.record.event("%s receives nothing from now on, with %d commits", id, len(s.log))
+	g.mu.Unlock()
+	time.AfterFunc(period, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		s.deaf = false
+		g.record.event("%s receives again", id)
+		for _, other := range g.servers {
+			if other != s && other.primary && !s.primary {
+				go g.follow(other, s)
+			}
+		}
+	})
+}
+
 // crash stops a server. Its connections end.
 func (g *group) crash(id string) {
 	g.mu.Lock()
@@ -354,21 +376,6 @@
 	g.record.event("%s is back with %d commits", id, len(s.log))
 }
 
-// restartAs starts a crashed server with its log under a new ID at its address. The entry under
-// the old one expires.
-func (g *group) restartAs(id, newID string) {
-	g.mu.Lock()
-	s := g.server(id)
-	expires := entryLifetime - time.Since(s.lastBeat)
-	s.id = newID
-	g.mu.Unlock()
-	time.AfterFunc(expires, func() {
-		g.store.Delete("servers", id)
-		g.record.event("entry of %s expired", id)
-	})
-	g.restart(newID, true)
-}
-
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
--- a/review/standins3/main_test.go
+++ b/review/standins3/main_test.go
@@ -56,39 +56,6 @@
 
 var lastID atomic.Uint64
 
-// request is a client's write and whether it was served.
-type request struct {
-	sent   time.Time
-	served bool
-}
-
-// requests are all writes that have ended.
-var requests struct {
-	sync.Mutex
-	all []request
-}
-
-func count(r request) {
-	requests.Lock()
-	defer requests.Unlock()
-	requests.all = append(requests.all, r)
-}
-
-// servedBetween counts the requests that were sent in a period.
-func servedBetween(from, to time.Time) (served, sent int) {
-	requests.Lock()
-	defer requests.Unlock()
-	for _, r := range requests.all {
-		if r.sent.After(from) && r.sent.Before(to) {
-			sent++
-			if r.served {
-				served++
-			}
-		}
-	}
-	return served, sent
-}
-
 // write runs one client's session: single writes, one after the other, until stop is closed.
 func write(g *group, v *vm, stop <-chan struct{}) {
 	for {
@@ -122,7 +89,6 @@
 		}
 		id := fmt.Sprintf("w%06x", lastID.Add(1))
 		g.record.line("sent", "%s %s WRITE item%s x", v.name, id, id)
-		r0 := request{sent: time.Now()}
 		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 		fmt.Fprintf(conn, "QUERY %s WRITE item%s x\r\n", id, id)
 		answer := ""
@@ -130,7 +96,6 @@
 			line, err := r.ReadString('\n')
 			if err != nil {
 				g.record.line("answer", "%s %s none: %v", v.name, id, err)
-				count(r0)
 				return
 			}
 			line = strings.TrimSpace(line)
@@ -146,9 +111,7 @@
 				g.stale++
 			}
 			g.mu.Unlock()
-			r0.served = true
 		}
-		count(r0)
 		g.record.line("answer", "%s %s %.120s", v.name, id, answer)
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -181,14 +144,19 @@
 	g.awaitPromotion(75 * time.Second)
 }
 
-// crashTwo crashes the primary and a replica together. The replica starts again after 2 s and
+// deafTime is how long a replica receives nothing.
+const deafTime = 6500 * time.Millisecond
+
+// crashTwo crashes the primary and a replica together while the other one receives nothing. The replica starts again after 2 s and
 // holds nothing; the primary comes back with its log after 7 s.
 func crashTwo(g *group, _ *fleet, trouble bool) {
 	time.Sleep(4 * time.Second)
 	if !trouble {
-		time.Sleep(16 * time.Second)
+		time.Sleep(19 * time.Second)
 		return
 	}
+	g.deafen("s-c", deafTime)
+	time.Sleep(3 * time.Second)
 	g.crash("s-a")
 	g.crash("s-b")
 	time.Sleep(2 * time.Second)
@@ -198,8 +166,8 @@
 	g.awaitPromotion(8 * time.Second)
 }
 
-// cutZone cuts zone b, with a replica, off from the platform only. The primary crashes 45 s
-// later.
+// cutZone cuts zone b, with a replica, off from the platform only. 42 s later the
+// other replica receives nothing for a while, and the primary crashes meanwhile.
 func cutZone(g *group, _ *fleet, trouble bool) {
 	time.Sleep(4 * time.Second)
 	if !trouble {
@@ -210,66 +178,14 @@
 	g.zoneCut = "b"
 	g.mu.Unlock()
 	g.record.event("zone b is cut off from the platform")
-	time.Sleep(45 * time.Second)
+	time.Sleep(42 * time.Second)
+	g.deafen("s-c", deafTime)
+	time.Sleep(3 * time.Second)
 	g.crash("s-a")
 	g.awaitPromotion(6 * time.Second)
 	g.restart("s-a", true)
 }
 
-// recovery is RECOVER's bound, recoveryWindow how long requests are counted after it.
-const (
-	recovery       = 12 * time.Second
-	recoveryWindow = 15 * time.Second
-)
-
-var unrecovered bool // RECOVER is broken
-
-// crashInTurn crashes the primary twice, 12 s apart. Each time the server comes back with its log
-// under a new ID. Then all proxies are killed and started again.
-func crashInTurn(g *group, f *fleet, trouble bool) {
-	began := time.Now()
-	time.Sleep(4 * time.Second)
-	if trouble {
-		g.crash("s-a")
-		time.Sleep(3 * time.Second)
-		g.restartAs("s-a", "s-a2")
-		time.Sleep(9 * time.Second)
-		g.mu.Lock()
-		leader := ""
-		for _, s := range g.servers {
-			if s.primary {
-				leader = s.id
-			}
-		}
-		g.mu.Unlock()
-		g.crash(leader)
-		time.Sleep(3 * time.Second)
-		g.restartAs(leader, leader+"2")
-		time.Sleep(2 * time.Second)
-	} else {
-		time.Sleep(17 * time.Second)
-	}
-	fault := time.Now()
-	for _, v := range f.all() {
-		v.kill()
-	}
-	g.record.event("all proxies are killed")
-	time.Sleep(time.Second)
-	for _, v := range f.all() {
-		if err := f.launch(v, f.command); err != nil {
-			g.record.event("cannot start %s: %v", v.name, err)
-		}
-	}
-	back := time.Now()
-	g.record.event("all proxies are started")
-	time.Sleep(recovery + recoveryWindow + 5*time.Second)
-	before, sentBefore := servedBetween(began, fault)
-	after, sentAfter := servedBetween(back.Add(recovery), back.Add(recovery+recoveryWindow))
-	unrecovered = 4*before >= sentBefore && 4*after < sentAfter
-	g.record.event("served before the final fault: %d of %d; sent later than 12 s after the start: %d of %d served", before, sentBefore, after, sentAfter)
-	fmt.Printf("served before the final fault: %d of %d; sent later than 12 s after the start: %d of %d served\n", before, sentBefore, after, sentAfter)
-}
-
 // joinAndRestart cuts the two regions off from each other. A VM is added in the region of the
 // platform, and then the three VMs there are killed together and start again.
 func joinAndRestart(g *group, f *fleet, trouble bool) {
@@ -331,7 +247,7 @@
 
 // TestMain plays a case instead of tests, if one is named.
 func TestMain(m *testing.M) {
-	name := flag.String("case", "", "cut, join, zone, crash or recover")
+	name := flag.String("case", "", "cut, join, zone or crash")
 	out := flag.String("record", "record.txt", "file for the record")
 	command := flag.String("node", "target/egretroad node", "command of the deploy file")
 	flag.Parse()
@@ -344,7 +260,7 @@
 func run(name, out, command string, trouble bool) int {
 	s, known := map[string]scenario{
 		"cut": {play: cutRegion, sessions: 2}, "crash": {play: crashTwo, sessions: 4}, "zone": {play: cutZone, sessions: 3},
-		"recover": {play: crashInTurn, sessions: 3}, "join": {play: joinAndRestart, sessions: 2, unsynced: true, zones: []string{"a", "b", "c", "c"}},
+		"join": {play: joinAndRestart, sessions: 2, unsynced: true, zones: []string{"a", "b", "c", "c"}},
 	}[name]
 	if s.zones == nil {
 		s.zones = []string{"a", "b", "c"}
@@ -422,7 +338,7 @@
 	case len(g.acked) < 50:
 		fmt.Println("too few writes were served")
 		return 2
-	case len(g.lost) > 0 || g.stale > 0 || unrecovered:
+	case len(g.lost) > 0 || g.stale > 0:
 		return 1
 	default:
 		return 0
