Log which VMs determine the wait of a promotion

The log told the wait of the promotion (1.1 s), but not from which VMs it followed, so a VM counted wrongly as listed for long, a forgotten change of the list and a wrong list could not be told apart.

`acknowledgements_counted` names them.

No decision changes.

--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -107,26 +107,38 @@
 	if len(m.Listed) == 0 {
 		return RevocationWait + MinorityWait
 	}
-	stayed, silent := 0, 0
-	for _, id := range m.Listed {
-		switch {
-		case !acked[id]:
-			silent++
-		case !m.Changed[id] && (m.Known || m.Stayed[id]):
-			stayed++
-		}
-	}
-	left := len(m.Changed) - countListed(m.Listed, m.Changed)
+	t := m.Tally(acked)
 	switch {
-	case silent+left == 0:
+	case len(t.Silent)+t.Left == 0:
 		return 0
-	case stayed > silent+left:
+	case len(t.Stayed) > len(t.Silent)+t.Left:
 		return RevocationWait
 	default:
 		return RevocationWait + MinorityWait
 	}
 }
 
+// Tally is what the wait of a promotion depends on.
+type Tally struct {
+	Stayed []string // VMs that acknowledged and were listed throughout ListWindow
+	Silent []string // listed VMs that did not acknowledge
+	Left   int      // VMs that left the list within ListWindow
+}
+
+// Tally sorts the VMs by what they contribute, after those in acked have acknowledged.
+func (m Members) Tally(acked map[string]bool) Tally {
+	t := Tally{Left: len(m.Changed) - countListed(m.Listed, m.Changed)}
+	for _, id := range m.Listed {
+		switch {
+		case !acked[id]:
+			t.Silent = append(t.Silent, id)
+		case !m.Changed[id] && (m.Known || m.Stayed[id]):
+			t.Stayed = append(t.Stayed, id)
+		}
+	}
+	return t
+}
+
 func countListed(listed []string, in map[string]bool) int {
 	n := 0
 	for _, id := range listed {
--- a/internal/promotion/run/revoke.go
+++ b/internal/promotion/run/revoke.go
@@ -47,12 +47,24 @@
 		}
 	}
 	sort.Strings(result.Silent)
+	x.logTally(e, acks)
 	if len(result.Silent) > 0 && e.OldPrimary != "" {
 		result.SteppedDown = x.stepDownThrough(ctx, acks.connected, stepDownRequest{Server: e.OldPrimary, Term: e.Term})
 	}
 	return result
 }
 
+// logTally logs which VMs determine the wait of a promotion.
+func (x *Executor) logTally(e promotion.Acknowledge, acks *acknowledgements) {
+	acked := map[string]bool{}
+	for _, a := range acks.received {
+		acked[a.VM] = true
+	}
+	t := acks.members.Tally(acked)
+	x.deps.Log.Info("acknowledgements_counted", "database", e.Database, "token", e.Designation.Token, "acknowledged", len(acked),
+		"stayed", t.Stayed, "silent", t.Silent, "left", t.Left, "changes_known", acks.members.Known, "list_known", len(acks.members.Listed) > 0)
+}
+
 // acknowledgements are the VMs that have acknowledged a designation.
 type acknowledgements struct {
 	mu        sync.Mutex      // guards the fields below
