Count a VM as listed for long only by what the store proves

Cause: a promotion waits 1.1 s instead of 11.1 s if the VMs that acknowledge it and have been listed throughout the last 14 s outnumber the silent ones. A process took "my entry was there when I started" for "I have been listed throughout". A VM that had joined 5 s before and restarted said so too, and all that had seen it join had restarted. Whatever order they restart in, and whether by kill or SIGTERM, no process remembers the change.

Change: the store records which VMs are established, that is, whose entries have been there for ListWindow (egretroad-vms/established-vms, read in the same call as the list). Each entry has a registration that its creator chooses at random and later processes keep, so an entry that is seen twice has existed in between, and a record of it stays true for as long as it exists. The record names the epoch of the store. A VM whose entry this process has created says so itself. Statements of earlier versions that they have been listed for long are ignored; a process of this version states none.

TestRestartedVMKnowsThatItHasStayed stated the false assumption; TestRestartedVMCountsIfItIsEstablished replaces it and demands the proof. The table of TestVMsThatJoinedOrLeftDoNotShortenPromotionWait has the record in place of the VMs' statements, with the same waits, and three rows more. The searches no longer leave out restarts of VMs that have joined lately.

Cost: no read, no wait at a start; one write of the fleet for all VMs that join within 5 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -53,8 +54,9 @@
 
 // Registrar publishes a VM's entry so that other VMs can discover it.
 type Registrar interface {
-	// RegisterVM creates or updates the entry and reports whether there was one.
-	RegisterVM(ctx context.Context, vm topology.VM) (existed bool, err error)
+	// RegisterVM creates or updates the entry and reports whether the VM was listed. An entry
+	// that is created, or has no registration, gets the given one, which no other has.
+	RegisterVM(ctx context.Context, vm topology.VM, registration string) (existed bool, err error)
 }
 
 // Adapters connect the process to the platform: store, backend servers and callers.
@@ -209,11 +211,12 @@
 	retryBackoff.Multiplier, retryBackoff.RandomizationFactor = 2, 0
 	for attempt := 1; ; attempt++ {
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
-		existed, err := n.adapters.Registrar.RegisterVM(ctx, n.settings.Self)
+		existed, err := n.adapters.Registrar.RegisterVM(ctx, n.settings.Self, newRegistration())
 		cancel()
 		if err == nil {
-			// A failed attempt may have created the entry.
-			n.components.Primacy.Ledger().RecordRegistration(existed && attempt == 1, clock.Boottime())
+			if !existed || attempt > 1 { // a failed attempt may have created the entry
+				n.components.Primacy.Ledger().RecordJoin(clock.Boottime())
+			}
 			n.components.Log.Info("vm_registered", "peer_addr", n.settings.Self.PeerAddr, "existed", existed, "attempts", attempt)
 			return
 		}
@@ -227,6 +230,10 @@
 	}
 }
 
+// newRegistration returns what identifies the creation of an entry. Clocks may be wrong, so
+// it does not contain a time.
+func newRegistration() string { return rand.Text() }
+
 // Time-outs and back-off of the registration, which must tolerate a slow or unavailable
 // store.
 const (
@@ -396,9 +403,9 @@
 	deps := control.Deps{
 		Self: s.Self, Store: refresher.ObserveLists(a.Store), Peers: n, Registrar: n, Publisher: p,
 		RegisterSelf: func(ctx context.Context) error {
-			_, err := a.Registrar.RegisterVM(ctx, s.Self)
+			_, err := a.Registrar.RegisterVM(ctx, s.Self, newRegistration())
 			// The list lacked this VM, so it joins anew.
-			refresher.Ledger().RecordRegistration(false, clock.Boottime())
+			refresher.Ledger().RecordJoin(clock.Boottime())
 			return err
 		},
 		Log: log.Named("control"), Metrics: m,
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -25,6 +25,7 @@
 	KindDuty      = "duty"      // value: promotion.Duty, which VM may promote servers of the group; name: the group
 	KindMembers   = "members"   // value: promotion.Members, which servers may have acknowledged commits of the group; name: the group
 	KindEpoch     = "epoch"     // value: primacy/run.settledEpoch, the last epoch whose designations are complete
+	KindVMs       = "vms"       // on the users' platform, entries of VMs (topology.VM), written by the VMs, and NameEstablished
 	KindHistory   = "history"   // value: operate.History, past changes of a catalogue entry; name: the entry
 )
 
@@ -123,10 +124,18 @@
 	return answered
 }
 
+// NameEstablished is the name of the object of kind KindVMs that records which VMs have been
+// listed for long (primacy.EstablishedRecord). It is there so that it is read with the list.
+const NameEstablished = "established-vms"
+
 // VMList is the platform's list of entry VMs. It may be stale.
 type VMList struct {
 	Revision uint64        `json:"revision"`
 	VMs      []topology.VM `json:"vms"`
+	// Registrations identify the creation of the VMs' entries, by VM ID, on the users'
+	// platform. Entries of earlier versions have none.
+	Registrations map[string]string `json:"-"`
+	Established   Object            `json:"-"` // NameEstablished; zero if there is none
 }
 
 // Store is the object API. It returns *ConflictError, *NotFoundError,
--- a/internal/primacy/doc.go
+++ b/internal/primacy/doc.go
@@ -20,7 +20,9 @@
 // every listed VM to acknowledge it. A VM that has acknowledged uses no other server. For
 // VMs that do not respond it waits until their evidence has expired: RevocationWait if more
 // than half of the VMs that were listed at any time within ListWindow have acknowledged and
-// been listed throughout, otherwise MinorityWait in addition. The wait ends early when the
+// been listed throughout, otherwise MinorityWait in addition. Which VMs have been listed
+// throughout is remembered by processes that have run for that long, and recorded in the
+// store (EstablishedRecord), which outlives them. The wait ends early when the
 // old primary itself confirms that it is a replica now.
 //
 // A response of a server is checked after it has arrived: a commit is acknowledged only
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -18,9 +18,10 @@
 // themselves to it or to a VM that responded to it.
 type fuzzVM struct {
 	ledger    *primacy.Ledger
+	tenure    *primacy.Tenure
+	version   uint64 // of the record of the established VMs in the last list
 	announced map[string]bool
-	left      bool          // removed from the list by the operator
-	joinedAt  time.Duration // 0: listed from the beginning
+	stopped   bool // for good
 	noStore   bool
 	partition int // VMs reach each other within a partition
 	attempt   *fuzzAttempt
@@ -32,8 +33,7 @@
 	designation topology.Designation
 	recordAt    time.Duration
 	recorded    bool
-	listed      []string // read from the store after the claim; none: it did not respond
-	listRead    bool
+	listRead    bool // from the store, after the claim
 	acks        []primacy.Acknowledgement
 	members     primacy.Members
 }
@@ -48,9 +48,14 @@
 	t        fataler
 	now      time.Duration
 	vms      map[string]*fuzzVM
-	ids      []string             // of vms
-	listed   []string             // in the store
-	leavers  map[string]leaver    // VMs removed from the list, by ID
+	ids      []string          // of vms
+	listed   []string          // in the store
+	entries  map[string]string // registrations of the listed VMs
+	created  int               // registrations so far
+	record   primacy.EstablishedRecord
+	version  uint64 // of record; 0: there is none
+	late     []lateRecord
+	leavers  map[string]leaver    // VMs that run on although their entry was removed
 	store    topology.Designation // the record in the store
 	revision uint64               // of the store
 	epoch    uint64               // rises when the store returns from an older copy
@@ -60,9 +65,18 @@
 	writable map[string]bool      // servers that accept writes; a replaced primary does until it steps down
 	promoted map[uint64]bool      // tokens of the designations that have led to a promotion
 	calls    []lateCall           // promotion calls sent and not yet in effect
+	uncovered
 }
 
-// leaver is a VM that was removed from the list, with the VMs that know it.
+// uncovered are classes of disruptions under which the design does not keep the oracle. Each
+// has a test of its own.
+type uncovered struct {
+	// restartsUnsettled: VMs restart, or end, between a return of the store from an older copy
+	// and the settlement of its epoch, or shortly before the return.
+	restartsUnsettled bool
+}
+
+// leaver is a VM whose entry was removed while it runs, with the VMs that remember it.
 type leaver struct {
 	at      time.Duration
 	knownBy []string
@@ -71,9 +85,20 @@
 // storeCopy is a state of the store from which it may return. The epoch that it records as
 // settled is never the next one, so it is left out.
 type storeCopy struct {
-	record   topology.Designation
+	store    topology.Designation
 	revision uint64
 	listed   []string
+	entries  map[string]string
+	record   primacy.EstablishedRecord
+	version  uint64
+}
+
+// lateRecord is a write of the record of the established VMs that is executed later, if its
+// condition still holds.
+type lateRecord struct {
+	at      time.Duration
+	version uint64 // that it replaces
+	record  primacy.EstablishedRecord
 }
 
 // lateCall is a promotion call that takes effect later.
@@ -89,95 +114,146 @@
 }
 
 func newWorld(t fataler, vms int) *world {
-	w := &world{t: t, now: time.Hour, vms: map[string]*fuzzVM{}, leavers: map[string]leaver{}, primary: "s0", promoted: map[uint64]bool{0: true}, epoch: 1, settled: 1, writable: map[string]bool{"s0": true}}
-	for i := range vms {
-		id := fmt.Sprint("vm", i)
-		w.add(id)
-		w.vms[id].ledger.RecordRegistration(true, w.now)
+	w := &world{t: t, now: time.Hour, vms: map[string]*fuzzVM{}, entries: map[string]string{}, leavers: map[string]leaver{}, primary: "s0", promoted: map[uint64]bool{0: true}, epoch: 1, settled: 1, writable: map[string]bool{"s0": true}}
+	for range vms {
+		w.start(w.add())
 	}
 	return w
 }
 
-func (w *world) add(id string) {
-	w.vms[id] = &fuzzVM{ledger: primacy.NewLedger(id, w.now), announced: map[string]bool{}}
-	w.ids, w.listed = append(w.ids, id), append(slices.Clone(w.listed), id)
+// add adds a VM, whose entry does not exist yet.
+func (w *world) add() string {
+	id := fmt.Sprint("vm", len(w.ids))
+	w.vms[id] = &fuzzVM{announced: map[string]bool{}}
+	w.ids = append(w.ids, id)
+	return id
 }
 
-// register lists a VM again that the store has lost with a return from an older copy.
-func (w *world) register(id string) {
-	if !w.vms[id].noStore && !slices.Contains(w.listed, id) && !w.vms[id].left {
-		w.listed = append(slices.Clone(w.listed), id)
-		w.vms[id].joinedAt = w.now
-		w.vms[id].ledger.RecordRegistration(false, w.now)
+// start starts the process of a VM, which remembers nothing. It registers if it reaches the
+// store.
+func (w *world) start(id string) {
+	vm := w.vms[id]
+	vm.ledger, vm.tenure, vm.attempt = primacy.NewLedger(id, w.now), &primacy.Tenure{}, nil
+	w.register(id)
+}
+
+// restart makes a VM forget everything.
+func (w *world) restart(id string) {
+	if w.settled != w.epoch && !w.restartsUnsettled || !w.leaversKnownWithout(id) {
+		return
 	}
+	for other, l := range w.leavers {
+		l.knownBy = slices.DeleteFunc(slices.Clone(l.knownBy), func(vm string) bool { return vm == id })
+		w.leavers[other] = l
+	}
+	w.start(id)
 }
 
-// leaversKnownWithout reports whether the other listed VMs know all VMs that have left the
-// list lately.
+// leaversKnownWithout reports whether the store's record or another listed VM has each VM that
+// runs on without its entry. Operators stop a VM before they remove its entry
+// (docs/operating/servers-and-vms.md), so nothing else has to know it.
 func (w *world) leaversKnownWithout(id string) bool {
-	for _, l := range w.leavers {
-		known := slices.ContainsFunc(l.knownBy, func(vm string) bool { return vm != id && slices.Contains(w.listed, vm) })
-		if !known && w.now-l.at <= primacy.ListWindow {
+	for other, l := range w.leavers {
+		recorded := w.list().Recorded() && w.record.VMs[other] != ""
+		remembered := slices.ContainsFunc(l.knownBy, func(vm string) bool { return vm != id && slices.Contains(w.listed, vm) })
+		if !recorded && !remembered && w.now-l.at <= primacy.ListWindow {
 			return false
 		}
 	}
 	return true
 }
 
-// restart makes a VM forget everything. Nothing happens if nobody else would know that a VM
-// has left the list lately, or if the VM has joined lately: it would not know it any more.
-func (w *world) restart(id string) {
-	joined := w.vms[id].joinedAt
-	if w.settled != w.epoch || !w.leaversKnownWithout(id) || joined != 0 && w.now-joined <= primacy.ListWindow {
+// register creates the entry of a VM if the list lacks it.
+func (w *world) register(id string) {
+	if w.vms[id].noStore || w.vms[id].stopped || w.entries[id] != "" {
 		return
 	}
-	for other, l := range w.leavers {
-		l.knownBy = slices.DeleteFunc(slices.Clone(l.knownBy), func(vm string) bool { return vm == id })
-		w.leavers[other] = l
+	w.created++
+	w.listed = append(slices.Clone(w.listed), id)
+	w.entries = maps.Clone(w.entries)
+	w.entries[id] = fmt.Sprint("r", w.created)
+	w.vms[id].ledger.RecordJoin(w.now)
+}
+
+func (w *world) list() primacy.List {
+	return primacy.List{IDs: w.listed, Epoch: w.epoch, Registrations: w.entries, Record: w.record}
+}
+
+// readList reads the list of VMs and returns it; false if the store does not respond.
+func (w *world) readList(id string) (primacy.List, bool) {
+	vm := w.vms[id]
+	if vm.noStore {
+		return primacy.List{}, false
 	}
+	vm.tenure.Observe(w.list(), w.now, w.now)
+	vm.version = w.version
+	return w.list(), true
+}
+
+// recordEstablished makes a VM write the record of the established VMs that it considers
+// right, with a delay.
+func (w *world) recordEstablished(id string, delay time.Duration) {
 	vm := w.vms[id]
-	vm.ledger, vm.attempt = primacy.NewLedger(id, w.now), nil
-	vm.ledger.RecordRegistration(true, w.now)
+	if next, changed := vm.tenure.NextRecord(); changed && !vm.noStore {
+		w.late = append(w.late, lateRecord{at: w.now + delay, version: vm.version, record: next})
+		w.advance(0)
+	}
 }
 
-// join adds a VM on the side of a listed one, to which it announces itself. It serves once
-// it has read the store.
+// join adds a VM on the side of another one. It announces itself to the listed VMs that it
+// reaches, one at least, and serves once it has read the store.
 func (w *world) join(through string) {
-	if !slices.Contains(w.listed, through) || w.vms[through].noStore || w.settled != w.epoch || len(w.ids) == 8 {
+	if len(w.ids) == maxFuzzVMs {
 		return
 	}
-	id := fmt.Sprint("vm", len(w.ids))
-	w.add(id)
-	w.vms[id].partition = w.vms[through].partition
-	w.vms[id].joinedAt = w.now
-	w.vms[id].ledger.RecordRegistration(false, w.now)
-	w.vms[through].announced[id] = true
+	partition := w.vms[through].partition
+	reached := slices.DeleteFunc(slices.Clone(w.listed), func(other string) bool { return !w.runs(other) || w.vms[other].partition != partition })
+	if len(reached) == 0 {
+		return
+	}
+	id := w.add()
+	w.vms[id].partition = partition
+	w.start(id)
+	for _, other := range reached {
+		w.vms[other].announced[id] = true
+	}
 	w.readStore(id)
 }
 
-// leave removes a VM from the list. It may run on behind a cut. The others know that it
-// was listed.
-func (w *world) leave(id string) {
+// maxFuzzVMs is the number of VMs that a simulated fleet has at most.
+const maxFuzzVMs = 8
+
+// leave removes the entry of a VM, which is stopped or runs on behind a cut.
+func (w *world) leave(id string, stop bool) {
 	others := slices.DeleteFunc(slices.Clone(w.listed), func(other string) bool { return other == id })
-	for _, other := range others {
-		if !slices.Contains(w.vms[other].ledger.Listed(), id) {
+	if w.entries[id] == "" || len(others) == 0 || w.settled != w.epoch && !w.restartsUnsettled {
+		return
+	}
+	w.vms[id].stopped = stop
+	if !stop {
+		forgets := func(other string) bool { return !slices.Contains(w.vms[other].ledger.Listed(), id) }
+		recorded := w.list().Recorded() && w.record.VMs[id] == w.entries[id]
+		if !recorded && slices.ContainsFunc(others, forgets) || !w.leaversKnownWithout(id) {
 			return
 		}
+		w.leavers[id] = leaver{w.now, slices.DeleteFunc(slices.Clone(others), forgets)}
 	}
-	if len(others) > 0 && w.leaversKnownWithout(id) {
-		w.vms[id].left, w.listed = true, others
-		w.leavers[id] = leaver{w.now, others}
-	}
+	w.listed = others
+	w.entries = maps.Clone(w.entries)
+	delete(w.entries, id)
 }
 
+func (w *world) runs(id string) bool { return !w.vms[id].stopped }
+
 // reaches reports whether two VMs reach each other.
 func (w *world) reaches(a, b string) bool {
-	return a == b || w.vms[a].partition == w.vms[b].partition
+	return a == b || w.vms[a].partition == w.vms[b].partition && w.runs(a) && w.runs(b)
 }
 
 func (w *world) readStore(id string) {
 	vm := w.vms[id]
-	if vm.noStore {
+	list, ok := w.readList(id)
+	if !ok {
 		return
 	}
 	if w.store.Token != 0 {
@@ -189,7 +265,7 @@
 	}
 	vm.ledger.ConfirmSettled(w.epoch)
 	w.restoreLost(id)
-	vm.ledger.ConfirmList(w.listed, w.now)
+	vm.ledger.ConfirmList(list.IDs, w.now)
 	vm.ledger.ConfirmFull(w.now)
 }
 
@@ -202,24 +278,24 @@
 }
 
 func (w *world) write(d topology.Designation) {
-	w.copies = append(w.copies, storeCopy{w.store, w.revision, w.listed})
+	w.copies = append(w.copies, storeCopy{w.store, w.revision, w.listed, w.entries, w.record, w.version})
 	w.store = d
 	w.revision++
 }
 
-// restore makes the store return from an older copy. All VMs have had evidence before: one
-// that had none may have forgotten a designation that it acknowledged.
+// restore makes the store return from an older copy.
 func (w *world) restore(age int) {
 	for _, vm := range w.vms {
-		if !vm.ledger.Complete() {
+		// A VM without evidence may have forgotten a designation that it acknowledged.
+		if !w.restartsUnsettled && !vm.stopped && !vm.ledger.Complete() {
 			return
 		}
 	}
-	if w.settled != w.epoch || age >= len(w.copies) {
+	if w.settled != w.epoch || age >= len(w.copies) || !w.leaversKnownWithout("") {
 		return
 	}
 	c := w.copies[len(w.copies)-1-age]
-	w.store, w.revision, w.listed = c.record, c.revision, c.listed
+	w.store, w.revision, w.listed, w.entries, w.record, w.version = c.store, c.revision, c.listed, c.entries, c.record, c.version
 	w.epoch++
 	w.copies = nil
 }
@@ -302,9 +378,9 @@
 		a.recorded = true
 		vm.ledger.Merge(record)
 	}
-	if !a.listRead && !vm.noStore {
-		a.listed, a.listRead = w.listed, true
-		a.members = vm.ledger.Members(a.listed, slices.Collect(maps.Keys(vm.announced)), w.now)
+	if list, ok := w.readList(id); ok && !a.listRead {
+		a.listRead = true
+		a.members = vm.ledger.Members(list.Fresh(), slices.Collect(maps.Keys(vm.announced)), w.now)
 	}
 	for _, other := range w.ids {
 		known := other == id || slices.Contains(a.members.Listed, other) || slices.Contains(vm.ledger.Listed(), other)
@@ -318,7 +394,7 @@
 		}
 		a.acks = append(a.acks, primacy.Acknowledgement{VM: other, At: w.now})
 		if a.listRead {
-			a.members.Include(other, w.vms[other].ledger.ListHistory(w.now, vm.ledger.Known().List))
+			a.members.Include(w.vms[other].ledger.ListHistory(w.now, vm.ledger.Known().List))
 		}
 	}
 	switch {
@@ -335,6 +411,13 @@
 // the calls for a server has taken effect, repetitions of it change nothing.
 func (w *world) advance(d time.Duration) {
 	w.now += d
+	for _, r := range w.late {
+		if r.at <= w.now && r.version == w.version {
+			w.revision++
+			w.record, w.version = r.record, w.revision
+		}
+	}
+	w.late = slices.DeleteFunc(w.late, func(r lateRecord) bool { return r.at <= w.now })
 	for _, c := range w.calls {
 		if c.at <= w.now {
 			w.primary, w.promoted[c.token], w.writable[c.server] = c.server, true, true
@@ -348,7 +431,7 @@
 func (w *world) check() {
 	for id, vm := range w.vms {
 		for server, writable := range w.writable {
-			if !writable || server == w.primary || vm.ledger.Check("orders", server, w.now) != nil {
+			if !writable || !w.runs(id) || server == w.primary || vm.ledger.Check("orders", server, w.now) != nil {
 				continue
 			}
 			if vm.ledger.Designation("orders").Token == 0 && server != "s0" {
@@ -360,22 +443,26 @@
 }
 
 // For any order of joins, leaves, cuts, outages of the store, returns from an older copy,
-// restarts, delays and promotions, no VM may use a server that another one has replaced. Restarts between a
-// return and the settlement of its epoch are left out: if every VM that acknowledged a
-// designation restarts there, nobody knows it.
-func TestAtMostOneServerIsUsable(t *testing.T) {
+// restarts, delays and promotions, no VM may use a server that another one has replaced.
+func TestAtMostOneServerIsUsable(t *testing.T) { searchForReplacedServer(t, uncovered{}) }
+
+func searchForReplacedServer(t *testing.T, classes uncovered) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(1, 5).Draw(t, "vms"))
-		for _, id := range w.listed {
-			w.readStore(id)
-		}
+		w.uncovered = classes
+		w.age(rapid.IntRange(0, 2).Draw(t, "age"))
 		ms := func(limit int, name string) time.Duration {
 			return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			vm := rapid.SampledFrom(w.ids)
 			id := vm.Draw(t, "vm")
-			switch rapid.IntRange(0, 23).Draw(t, "step") {
+			step := rapid.IntRange(0, 25).Draw(t, "step")
+			if !w.runs(id) {
+				continue
+			}
+			switch step {
 			case 0, 10, 11:
 				w.advance(ms(1500, "long"))
 			case 1, 2:
@@ -393,7 +480,7 @@
 			case 8, 16:
 				w.vms[id].partition = rapid.IntRange(0, 1).Draw(t, "partition")
 				w.vms[id].noStore = rapid.Bool().Draw(t, "no store")
-			case 9: // the VM restarts
+			case 9:
 				w.restart(id)
 			case 17:
 				w.restore(rapid.IntRange(0, 2).Draw(t, "age"))
@@ -402,36 +489,61 @@
 			case 20, 21:
 				w.join(id)
 			case 22:
-				w.leave(id)
+				w.leave(id, rapid.Bool().Draw(t, "stop"))
 			case 23:
 				w.register(id)
+			case 24, 25:
+				w.recordEstablished(id, ms(3000, "executed"))
 			}
 			w.check()
 		}
 	})
 }
 
+// age lets time pass in which all VMs read the store: none, a part of ListWindow, or enough
+// for them to be established.
+func (w *world) age(windows int) {
+	for range windows * 10 {
+		for _, id := range w.ids {
+			w.readStore(id)
+			w.recordEstablished(id, 0)
+		}
+		w.advance(primacy.ListWindow / 10 * 9 / 10)
+	}
+	for _, id := range w.ids {
+		w.readStore(id)
+		w.recordEstablished(id, 0)
+	}
+}
+
 // Two of four VMs are cut off with the old primary, from which they write on while half of
 // the list that they know states no other designation. A VM that joins on the other side
-// makes up a majority there.
+// makes up a majority there, in whatever order it and those that have seen it join restart.
 func TestVMThatJoinedAfterCutDoesNotCountTowardsMajority(t *testing.T) {
-	for name, restart := range map[string]bool{"others know that it joined": false, "others have restarted since": true} {
+	for name, restarted := range map[string][]string{
+		"others know that it joined":                 nil,
+		"others have restarted since":                {"vm2", "vm3"},
+		"it and the others have restarted since":     {"vm2", "vm3", "vm4"},
+		"it has restarted before the others":         {"vm4", "vm3", "vm2"},
+		"it and one of the others have restarted":    {"vm4", "vm2"},
+		"all have restarted twice":                   {"vm2", "vm3", "vm4", "vm4", "vm3", "vm2"},
+		"others have restarted before it has joined": {"vm2", "vm3", "join", "vm4"},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, 4)
-			for range 2 * primacy.ListWindow / time.Second {
-				for _, id := range w.listed {
-					w.readStore(id)
-				}
-				w.advance(500 * time.Millisecond)
-			}
+			w.age(2)
 			for _, id := range []string{"vm0", "vm1"} {
 				w.vms[id].partition, w.vms[id].noStore = 1, true
 			}
-			w.join("vm2")
-			for _, id := range []string{"vm2", "vm3"} {
-				if restart {
-					w.restart(id)
+			if !slices.Contains(restarted, "join") {
+				w.join("vm2")
+			}
+			for _, id := range restarted {
+				if id == "join" {
+					w.join("vm2")
+					continue
 				}
+				w.start(id)
 				w.readStore(id)
 			}
 			w.claim("vm2", "s1", 0)
--- a/internal/primacy/ledger.go
+++ b/internal/primacy/ledger.go
@@ -196,15 +196,12 @@
 	l.list.merge(ids, asOf)
 }
 
-// RecordRegistration records that the list of VMs has an entry of this VM. existed is set if
-// it was there before the start: this VM was listed then.
-func (l *Ledger) RecordRegistration(existed bool, now time.Duration) {
+// RecordJoin records that this process has created the entry of its VM in the list, or may
+// have. An entry that was there before proves nothing about the time since its creation.
+func (l *Ledger) RecordJoin(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list.registered, l.list.joinedAt = true, now
-	if existed {
-		l.list.joinedAt = 0
-	}
+	l.list.joinedAt = now
 }
 
 // Listed returns the known list of VMs; none if there has been no list. Callers must not
@@ -235,24 +232,30 @@
 func (l *Ledger) ListHistory(now time.Duration, known uint64) ListHistory {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.list.history(now, known)
+	return l.list.history(l.self, now, known)
 }
 
 // Members returns the VMs whose evidence a promotion must revoke. fresh is a list of VMs
 // that was read after the designation was recorded, empty if it could not be read;
 // announced are VMs that have announced themselves.
-func (l *Ledger) Members(fresh, announced []string, now time.Duration) Members {
-	m := Members{Changed: map[string]bool{}, Stayed: map[string]bool{}}
-	if len(fresh) == 0 {
+func (l *Ledger) Members(fresh FreshList, announced []string, now time.Duration) Members {
+	m := Members{Changed: map[string]bool{}, Established: map[string]bool{}, Departed: map[string]bool{}}
+	if len(fresh.IDs) == 0 {
 		return m
 	}
-	m.Listed = slices.Clone(fresh)
+	m.Listed = slices.Clone(fresh.IDs)
+	for _, id := range fresh.Established {
+		m.Established[id] = true
+	}
+	for _, id := range fresh.Departed {
+		m.Departed[id] = true
+	}
 	for _, id := range announced {
-		if !slices.Contains(fresh, id) {
+		if !slices.Contains(fresh.IDs, id) {
 			m.Listed, m.Changed[id] = append(m.Listed, id), true
 		}
 	}
-	m.Include(l.self, l.ListHistory(now, 0))
+	m.Include(l.ListHistory(now, 0))
 	return m
 }
 
--- a/internal/primacy/primacy_test.go
+++ b/internal/primacy/primacy_test.go
@@ -147,14 +147,23 @@
 		"changes unknown": {
 			primacy.Members{Listed: []string{"a", "b", "c"}}, set("a", "b"), long,
 		},
-		"changes unknown, those that acknowledged have stayed": {
-			primacy.Members{Listed: []string{"a", "b", "c"}, Stayed: set("a", "b")}, set("a", "b"), primacy.RevocationWait,
+		"changes unknown, those that acknowledged are established": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Established: set("a", "b")}, set("a", "b"), primacy.RevocationWait,
 		},
 		"changes unknown, one that acknowledged may have joined": {
-			primacy.Members{Listed: []string{"a", "b", "c"}, Stayed: set("a")}, set("a", "b"), long,
+			primacy.Members{Listed: []string{"a", "b", "c"}, Established: set("a")}, set("a", "b"), long,
 		},
-		"has stayed by its own knowledge, but joined by that of another": {
-			primacy.Members{Listed: []string{"a", "b", "c"}, Changed: set("b"), Stayed: set("a", "b")}, set("a", "b"), long,
+		"established by the record, but joined by the knowledge of another": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Changed: set("b"), Established: set("a", "b")}, set("a", "b"), long,
+		},
+		"changes unknown, an established VM has left": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Established: set("a", "b"), Departed: set("d")}, set("a", "b"), long,
+		},
+		"changes known, the entry of one that acknowledged was created again": {
+			primacy.Members{Listed: []string{"a", "b", "c", "d"}, Known: true, Established: set("a", "d"), Departed: set("b")}, set("a", "b", "d"), long,
+		},
+		"left by the record and by the knowledge of another": {
+			primacy.Members{Listed: []string{"a", "b", "c"}, Known: true, Changed: set("d"), Departed: set("d")}, set("a", "b", "c"), primacy.RevocationWait,
 		},
 		"all acknowledged": {
 			primacy.Members{Listed: []string{"a", "x"}, Changed: set("x")}, set("a", "x"), 0,
@@ -182,27 +191,51 @@
 	g.Expect(l.ListHistory(at(primacy.ListWindow+2*time.Second), 0).Changed).To(BeEmpty())
 	g.Expect(l.ListHistory(at(primacy.ListWindow+primacy.ListMaxAge+1), 0).Complete).To(BeFalse(), "the list is old")
 
-	m := l.Members([]string{"a", "d"}, []string{"a", "e"}, at(primacy.ListWindow))
+	m := l.Members(primacy.FreshList{IDs: []string{"a", "d"}}, []string{"a", "e"}, at(primacy.ListWindow))
 	g.Expect(m.Listed).To(Equal([]string{"a", "d", "e"}))
 	g.Expect(m.Changed).To(Equal(map[string]bool{"b": true, "c": true, "d": true, "e": true}))
-	m.Include("b", primacy.ListHistory{Listed: []string{"f"}})
+	m.Include(primacy.ListHistory{Listed: []string{"f"}})
 	g.Expect(m.Changed).To(And(HaveKey("a"), HaveKey("f")), "the list of another VM differs")
-	g.Expect(l.Members(nil, []string{"a"}, at(primacy.ListWindow)).Listed).To(BeEmpty())
+	g.Expect(l.Members(primacy.FreshList{}, []string{"a"}, at(primacy.ListWindow)).Listed).To(BeEmpty())
 }
 
-// After a restart a VM has no history of the list, but its own entry was there before.
-func TestRestartedVMKnowsThatItHasStayed(t *testing.T) {
+// A process remembers nothing of before its start. That its entry was there does not show for
+// how long; the store's record does.
+func TestRestartedVMCountsIfItIsEstablished(t *testing.T) {
 	g := NewWithT(t)
+	list := primacy.List{
+		IDs: []string{"a", "b", "c"}, Registrations: map[string]string{"a": "r1", "b": "r2", "c": "r3"},
+		Record: primacy.EstablishedRecord{VMs: map[string]string{"a": "r1", "b": "r2"}},
+	}
+	wait := func(l *primacy.Ledger, acked ...string) time.Duration {
+		m := l.Members(list.Fresh(), nil, time.Hour)
+		all := map[string]bool{}
+		for _, id := range acked {
+			all[id] = true
+		}
+		return primacy.PromotionWait(m, all)
+	}
 	l := primacy.NewLedger("a", time.Hour)
-	g.Expect(l.ListHistory(time.Hour, 0).Stayed).To(BeFalse())
-	l.RecordRegistration(true, time.Hour)
-	g.Expect(l.ListHistory(time.Hour, 0).Stayed).To(BeTrue())
-	l.RecordRegistration(false, time.Hour) // the store lost the entry
-	g.Expect(l.ListHistory(time.Hour+primacy.ListWindow, 0).Stayed).To(BeFalse())
-	g.Expect(l.ListHistory(time.Hour+primacy.ListWindow+1, 0).Stayed).To(BeTrue())
-	m := l.Members([]string{"a", "b", "c"}, nil, time.Hour+primacy.ListWindow+1)
-	m.Include("b", primacy.ListHistory{Stayed: true})
-	g.Expect(primacy.PromotionWait(m, map[string]bool{"a": true, "b": true})).To(Equal(primacy.RevocationWait))
+	g.Expect(wait(l, "a", "b")).To(Equal(primacy.RevocationWait))
+	g.Expect(wait(l, "a", "c")).To(Equal(primacy.RevocationWait+primacy.MinorityWait), "c is not established")
+	l.RecordJoin(time.Hour) // the store lost its entry
+	g.Expect(wait(l, "a", "b")).To(Equal(primacy.RevocationWait + primacy.MinorityWait))
+	list.Record.Epoch = 1
+	g.Expect(wait(primacy.NewLedger("a", time.Hour), "a", "b")).To(Equal(primacy.RevocationWait+primacy.MinorityWait), "the record is of another epoch")
+}
+
+// A VM whose entry this process has created states so, also where others have seen it before
+// and after and know of no change.
+func TestVMStatesThatItHasJoined(t *testing.T) {
+	g := NewWithT(t)
+	l := primacy.NewLedger("a", time.Hour)
+	l.ConfirmList([]string{"a", "b"}, time.Hour)
+	g.Expect(l.ListHistory(time.Hour, 0).Changed).To(BeEmpty())
+	l.RecordJoin(time.Hour)
+	for _, after := range []time.Duration{0, primacy.ListWindow} {
+		g.Expect(l.ListHistory(time.Hour+after, 0).Changed).To(ConsistOf("a"))
+	}
+	g.Expect(l.ListHistory(time.Hour+primacy.ListWindow+1, 0).Changed).To(BeEmpty())
 }
 
 // A VM of an earlier build does not know the mark. If its digest differed for good, each of
--- a/internal/primacy/quorum.go
+++ b/internal/primacy/quorum.go
@@ -37,22 +37,33 @@
 	}
 }
 
+// FreshList is a list of VMs that was read after a designation was recorded.
+type FreshList struct {
+	IDs []string
+	// Established are those of IDs that the store's record has, and Departed the VMs in the
+	// record whose entries are gone or have been created again.
+	Established, Departed []string
+}
+
+// Fresh returns what a promotion needs of a list.
+func (l List) Fresh() FreshList {
+	return FreshList{IDs: l.IDs, Established: l.Established(), Departed: l.Departed()}
+}
+
 // Members are the VMs whose evidence a promotion must revoke.
 type Members struct {
 	Listed  []string        // in a list read after the designation was recorded, or announced since; empty: unknown
-	Changed map[string]bool // VMs that joined or left the list within ListWindow
+	Changed map[string]bool // VMs that are known to have joined or left the list within ListWindow
 	// Known is set if Changed has all such VMs.
 	Known bool
-	// Stayed are VMs that know of themselves that they have not joined within ListWindow.
-	Stayed map[string]bool
+	// Established are the listed VMs that the store's record has, and Departed those that it
+	// has and that are not listed any more, or anew.
+	Established, Departed map[string]bool
 }
 
-// Include adds a VM's knowledge of the list, its changes and itself. Where its list differs,
-// VMs have joined or left since it knew it.
-func (m *Members) Include(vm string, h ListHistory) {
-	if h.Stayed {
-		m.Stayed[vm] = true
-	}
+// Include adds a VM's knowledge of the list and its changes. Where its list differs, VMs have
+// joined or left since it knew it.
+func (m *Members) Include(h ListHistory) {
 	if len(h.Listed) > 0 {
 		m.includeDifferences(h.Listed)
 	}
@@ -75,6 +86,25 @@
 	}
 }
 
+// stayed reports whether a listed VM has been listed throughout ListWindow: no VM remembers
+// otherwise, and the store's record says so or some VM remembers all changes.
+func (m *Members) stayed(id string) bool {
+	return !m.Changed[id] && !m.Departed[id] && (m.Known || m.Established[id])
+}
+
+// left returns the number of VMs that have left the list within ListWindow and may be
+// running. One whose entry was created again counts as well: evidence may be counted from a
+// list without the new entry.
+func (m *Members) left() int {
+	n := len(m.Departed)
+	for id := range m.Changed {
+		if !m.Departed[id] && !slices.Contains(m.Listed, id) {
+			n++
+		}
+	}
+	return n
+}
+
 // Acknowledgement is the acknowledgement of a designation by a VM.
 type Acknowledgement struct {
 	VM string
@@ -127,12 +157,12 @@
 
 // Tally sorts the VMs by what they contribute, after those in acked have acknowledged.
 func (m Members) Tally(acked map[string]bool) Tally {
-	t := Tally{Left: len(m.Changed) - countListed(m.Listed, m.Changed)}
+	t := Tally{Left: m.left()}
 	for _, id := range m.Listed {
 		switch {
 		case !acked[id]:
 			t.Silent = append(t.Silent, id)
-		case !m.Changed[id] && (m.Known || m.Stayed[id]):
+		case m.stayed(id):
 			t.Stayed = append(t.Stayed, id)
 		}
 	}
--- /dev/null
+++ b/internal/primacy/run/established.go
@@ -0,0 +1,63 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"egretroad/internal/clock"
+	"egretroad/internal/platform"
+	"egretroad/internal/primacy"
+)
+
+// recordInterval is the minimum time between two writes of the record of the established VMs
+// by one VM, so that VMs that join one after the other share them.
+const recordInterval = 5 * time.Second
+
+// decodeEstablished decodes the record of the established VMs; zero if there is none or it
+// cannot be read. It is then written anew.
+func (r *Refresher) decodeEstablished(o platform.Object) primacy.EstablishedRecord {
+	var record primacy.EstablishedRecord
+	if o.Version == 0 {
+		return record
+	}
+	if err := json.Unmarshal(o.Value, &record); err != nil {
+		r.deps.Log.Error("established_vms_unreadable", "version", o.Version, "error", err)
+		return primacy.EstablishedRecord{}
+	}
+	return record
+}
+
+// recordEstablished writes the record of the established VMs if the last list shows that the
+// store's is out of date. A write without a response, or one that conflicts with that of
+// another VM, is judged by the next list.
+func (r *Refresher) recordEstablished() {
+	now := clock.Boottime()
+	r.mu.Lock()
+	next, changed := r.tenure.NextRecord()
+	version, due := r.list.recordVersion, now-r.recordedAt >= recordInterval
+	if changed && due {
+		r.recordedAt = now
+	}
+	r.mu.Unlock()
+	if !changed || !due {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if _, err := r.deps.Store.Put(ctx, platform.KindVMs, platform.NameEstablished, version, value); err != nil {
+		r.deps.Log.Warn("established_vms_not_recorded", "epoch", next.Epoch, "error", err)
+		return
+	}
+	var ids []string
+	for id := range next.VMs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	r.deps.Log.Info("established_vms_recorded", "epoch", next.Epoch, "vms", ids)
+}
--- a/internal/primacy/run/refresher.go
+++ b/internal/primacy/run/refresher.go
@@ -88,14 +88,16 @@
 	unsettled    storeState // the last read of an epoch that is not settled
 	listReading  bool       // a read of the list of VMs is in flight
 	list         listRead   // the last list of VMs that was read
+	tenure       primacy.Tenure
+	recordedAt   time.Duration // last attempt to write the record of the established VMs
 }
 
 // listRead is the result of a read of the list of VMs.
 type listRead struct {
-	ids     []string
-	epoch   uint64
-	asOf    time.Duration // before the read, on CLOCK_BOOTTIME
-	arrived time.Duration // on CLOCK_BOOTTIME
+	list          primacy.List
+	recordVersion uint64        // of the record of the established VMs; 0: there is none
+	asOf          time.Duration // before the read, on CLOCK_BOOTTIME
+	arrived       time.Duration // on CLOCK_BOOTTIME
 }
 
 // request is the request of method.Designations.
--- a/internal/primacy/run/vmlist.go
+++ b/internal/primacy/run/vmlist.go
@@ -8,9 +8,11 @@
 
 	"egretroad/internal/clock"
 	"egretroad/internal/platform"
+	"egretroad/internal/primacy"
 )
 
 // readListIfDue starts to read the list of VMs if the known one is older than listInterval.
+// The VM that reads the store for the fleet also keeps the record of the established VMs.
 func (r *Refresher) readListIfDue() {
 	r.mu.Lock()
 	due := !r.listReading && clock.Boottime()-max(r.ledger.ListedAt(), r.list.asOf) >= listInterval
@@ -20,22 +22,24 @@
 		return
 	}
 	go func() {
-		_, _ = r.ReadList() // its error is logged; the next read of the store repeats it
+		if _, err := r.ReadList(); err == nil { // its error is logged; the next read of the store repeats it
+			r.recordEstablished()
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.listReading = false
 	}()
 }
 
-// ReadList reads the IDs of the listed VMs from the store.
-func (r *Refresher) ReadList() ([]string, error) {
+// ReadList reads the list of VMs from the store.
+func (r *Refresher) ReadList() (primacy.List, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	asOf := clock.Boottime()
 	list, err := r.deps.Store.VMs(ctx)
 	if err != nil {
 		r.deps.Log.Debug("vm_list_not_read", "error", err)
-		return nil, err
+		return primacy.List{}, err
 	}
 	return r.recordList(list, asOf), nil
 }
@@ -61,19 +65,21 @@
 	return list, err
 }
 
-// recordList keeps a list of VMs that was requested at asOf and returns the VMs' IDs.
-func (r *Refresher) recordList(list platform.VMList, asOf time.Duration) []string {
-	read := listRead{epoch: platform.EpochOf(list.Revision), asOf: asOf, arrived: clock.Boottime()}
-	for _, vm := range list.VMs {
-		read.ids = append(read.ids, vm.ID)
+// recordList keeps a list of VMs that was requested at asOf and returns it.
+func (r *Refresher) recordList(vms platform.VMList, asOf time.Duration) primacy.List {
+	list := primacy.List{Epoch: platform.EpochOf(vms.Revision), Registrations: vms.Registrations, Record: r.decodeEstablished(vms.Established)}
+	for _, vm := range vms.VMs {
+		list.IDs = append(list.IDs, vm.ID)
 	}
-	r.ledger.ConfirmEpoch(read.epoch)
+	read := listRead{list: list, recordVersion: vms.Established.Version, asOf: asOf, arrived: clock.Boottime()}
+	r.ledger.ConfirmEpoch(list.Epoch)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if read.asOf > r.list.asOf {
+	if asOf > r.list.asOf {
 		r.list = read
 	}
-	return read.ids
+	r.tenure.Observe(list, asOf, read.arrived)
+	return list
 }
 
 // confirmList takes over the last list of VMs once the designations have been read after
@@ -83,8 +89,8 @@
 	r.mu.Lock()
 	read := r.list
 	r.mu.Unlock()
-	if len(read.ids) > 0 && read.arrived <= designationsAsOf && r.ledger.Settled(read.epoch) {
-		r.ledger.ConfirmList(read.ids, read.asOf)
+	if len(read.list.IDs) > 0 && read.arrived <= designationsAsOf && r.ledger.Settled(read.list.Epoch) {
+		r.ledger.ConfirmList(read.list.IDs, read.asOf)
 	}
 }
 
--- a/internal/primacy/vmlist.go
+++ b/internal/primacy/vmlist.go
@@ -12,14 +12,12 @@
 // CLOCK_BOOTTIME.
 type vmList struct {
 	ids     []string // sorted
-	digest  uint64   // of ids; 0: no list is known
+	digest  uint64   // of the above; 0: no list is known
 	asOf    time.Duration
 	since   time.Duration            // asOf of the first list
 	changed map[string]time.Duration // VMs that joined or left, and when this is known to have happened
-	// registered is set once this VM's entry is in the list; joinedAt is when it was created,
-	// 0: before the start.
-	registered bool
-	joinedAt   time.Duration
+	// joinedAt is when this process created the entry of its VM; 0: it has not.
+	joinedAt time.Duration
 }
 
 // merge takes a list over unless it is older than the known one.
@@ -69,12 +67,11 @@
 	Listed   []string `msgpack:"l,omitempty"` // none if the requester knows the same list
 	Changed  []string `msgpack:"c,omitempty"` // VMs that joined or left within ListWindow
 	Complete bool     `msgpack:"k,omitempty"` // the VM has known the list during all of ListWindow
-	Stayed   bool     `msgpack:"s,omitempty"` // the VM itself has been listed during all of ListWindow
 }
 
-// history returns the changes as of now, for a requester that knows the list with the given
-// digest.
-func (l *vmList) history(now time.Duration, known uint64) ListHistory {
+// history returns the changes as of now that a VM knows, for a requester that knows the list
+// with the given digest. Others may have missed that its entry was gone in between.
+func (l *vmList) history(self string, now time.Duration, known uint64) ListHistory {
 	var h ListHistory
 	if known != l.digest {
 		h.Listed = l.ids
@@ -84,7 +81,9 @@
 			h.Changed = append(h.Changed, id)
 		}
 	}
-	h.Stayed = l.registered && (l.joinedAt == 0 || now-l.joinedAt > ListWindow)
+	if l.joinedAt != 0 && now-l.joinedAt <= ListWindow && !slices.Contains(h.Changed, self) {
+		h.Changed = append(h.Changed, self)
+	}
 	h.Complete = l.digest != 0 && now-l.since >= ListWindow && now-l.asOf <= ListMaxAge
 	return h
 }
--- a/internal/promotion/run/claim.go
+++ b/internal/promotion/run/claim.go
@@ -11,6 +11,7 @@
 	"egretroad/internal/peer"
 	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
+	"egretroad/internal/primacy"
 	"egretroad/internal/promotion"
 	"egretroad/internal/reducer"
 )
@@ -27,7 +28,10 @@
 type claimResponse struct {
 	Token  uint64   `msgpack:"v"`           // of the claim; 0: it was not written
 	Listed []string `msgpack:"l,omitempty"` // VMs in the list, read after the claim was written
-	Detail string   `msgpack:"d,omitempty"`
+	// Established and Departed are those of primacy.FreshList.
+	Established []string `msgpack:"e,omitempty"`
+	Departed    []string `msgpack:"r,omitempty"`
+	Detail      string   `msgpack:"d,omitempty"`
 	// Duty is the record of the claim as it was written.
 	Duty promotion.Duty `msgpack:"u"`
 }
@@ -139,7 +143,7 @@
 		callErr := peer.CallMsgpack(ctx, x.deps.Peers, vm, method.Claim, &r, &response)
 		cancel()
 		if callErr == nil && response.Token != 0 && response.Duty.Server != "" { // one of an earlier version returns no duty
-			x.keepPeerList(response.Token, response.Listed)
+			x.keepPeerList(response.Token, primacy.FreshList{IDs: response.Listed, Established: response.Established, Departed: response.Departed})
 			x.deps.Log.Info("claim_written_by_peer", "database", r.Database, "vm", vm, "token", response.Token, "cause", cause)
 			return response, nil
 		}
@@ -153,22 +157,22 @@
 
 // keepPeerList keeps the list of VMs for the acknowledgement of a claim. Claims that were
 // given up leave theirs behind, so older ones are dropped.
-func (x *Executor) keepPeerList(token uint64, listed []string) {
+func (x *Executor) keepPeerList(token uint64, list primacy.FreshList) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if len(x.peerLists) >= maxPeerLists {
 		clear(x.peerLists)
 	}
-	x.peerLists[token] = listed
+	x.peerLists[token] = list
 }
 
 // takePeerList returns the list that was kept for a claim; false if there is none.
-func (x *Executor) takePeerList(token uint64) ([]string, bool) {
+func (x *Executor) takePeerList(token uint64) (primacy.FreshList, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	listed, found := x.peerLists[token]
+	list, found := x.peerLists[token]
 	delete(x.peerLists, token)
-	return listed, found
+	return list, found
 }
 
 // maxPeerLists is the number of lists of VMs that are kept. Without its list, a promotion
@@ -200,7 +204,9 @@
 		response.Detail = err.Error()
 	} else {
 		x.deps.Primacy.Record(r.Database, r.Duty.WithToken(response.Token))
-		response.Listed, _ = x.deps.Primacy.ReadList() // its error is logged; without a list, the promotion waits longer
+		list, _ := x.deps.Primacy.ReadList() // its error is logged; without a list, the promotion waits longer
+		fresh := list.Fresh()
+		response.Listed, response.Established, response.Departed = fresh.IDs, fresh.Established, fresh.Departed
 	}
 	return msgpack.Marshal(&response)
 }
--- a/internal/promotion/run/executor.go
+++ b/internal/promotion/run/executor.go
@@ -76,8 +76,8 @@
 	Permit(ctx context.Context, database, server string) error
 	// Record adds a designation.
 	Record(database string, d topology.Designation)
-	// ReadList reads the IDs of the listed VMs from the store.
-	ReadList() ([]string, error)
+	// ReadList reads the list of VMs from the store.
+	ReadList() (primacy.List, error)
 	// SettledEpoch returns the epoch of the store, or an error while its records may lack
 	// designations of earlier epochs.
 	SettledEpoch(ctx context.Context) (uint64, error)
@@ -97,14 +97,14 @@
 	uncalled   map[string]uncalledClaim // by database group
 	// peerLists are the lists of VMs that other VMs read after they had written a claim of
 	// this one, by token.
-	peerLists map[uint64][]string
+	peerLists map[uint64]primacy.FreshList
 }
 
 // New returns an executor and registers its peer methods. Call Bind before the first
 // effect.
 func New(d Deps) *Executor {
 	x := &Executor{
-		deps: d, calls: map[string]uint64{}, uncalled: map[string]uncalledClaim{}, peerLists: map[uint64][]string{},
+		deps: d, calls: map[string]uint64{}, uncalled: map[string]uncalledClaim{}, peerLists: map[uint64]primacy.FreshList{},
 		givenUp:      d.Metrics.Counter("promotion_members_given_up_total", "Members of groups with synchronous replicas without which an election went on after its limit.").WithLabelValues(),
 		stepDuration: d.Metrics.Latency("promotion_step_seconds", "Time of each step towards a promotion, as this VM took it.", "step"),
 	}
--- a/internal/promotion/run/executor_test.go
+++ b/internal/promotion/run/executor_test.go
@@ -29,6 +29,7 @@
 // connected VMs handle each other's calls.
 type stubPeers struct {
 	acknowledging map[string]bool
+	history       map[string]any          // that those VMs state
 	handlers      map[string]peer.Handler // of this VM
 	connected     map[string]*stubPeers
 }
@@ -40,7 +41,7 @@
 		return other.handlers[name](ctx, "", body)
 	}
 	if name == method.Acknowledge && p.acknowledging[vm] {
-		return msgpack.Marshal(map[string]bool{"a": true})
+		return msgpack.Marshal(map[string]any{"a": true, "h": p.history})
 	}
 	return nil, &peer.UnknownMethodError{}
 }
@@ -427,6 +428,36 @@
 	g.Expect(e.SafeAt).To(BeNumerically(">=", began+primacy.RevocationWait+primacy.MinorityWait))
 }
 
+// All VMs on this side of a cut have restarted, also one that joined lately. None remembers
+// the change, and VMs of earlier versions state that they have been listed for long, since
+// their entries were there at their start. Only the store's record shows for which that holds.
+func TestWaitForAcknowledgementsAfterVMJoinedAndAllRestarted(t *testing.T) {
+	g := NewWithT(t)
+	store := newStore(t)
+	x := newVM("a", store)
+	listed := []string{"a", "b", "c", "d", "e", "joined"}
+	list(store, listed...)
+	x.publisher.Publish(&topology.Snapshot{Self: "a", Listed: listed})
+	x.peers.acknowledging = map[string]bool{"b": true, "e": true, "joined": true}
+	x.peers.history = map[string]any{"s": true}
+	wait := func() time.Duration {
+		e := x.acknowledge(g, topology.Designation{Server: "s2", Holder: "a", Token: 9})
+		g.Expect(e.Silent).To(Equal([]string{"c", "d"}))
+		return e.SafeAt - clock.Boottime()
+	}
+	long := primacy.RevocationWait + primacy.MinorityWait - time.Second
+	g.Expect(wait()).To(BeNumerically(">", long), "there is no record")
+	for _, id := range listed {
+		store.Put("egretroad-vms", id, map[string]any{"id": id, "dataCentre": "x", "peerAddr": "127.0.0.1:1", "registration": "r" + id})
+	}
+	established := map[string]string{"a": "ra", "b": "rb", "c": "rc", "d": "rd", "e": "of an earlier entry"}
+	store.Put("egretroad-vms", "established-vms", map[string]any{"epoch": 1, "vms": established})
+	g.Expect(wait()).To(BeNumerically(">", long), "two VMs that acknowledged are established")
+	established["e"] = "re"
+	store.Put("egretroad-vms", "established-vms", map[string]any{"epoch": 1, "vms": established})
+	g.Expect(wait()).To(BeNumerically("<", primacy.RevocationWait+time.Millisecond))
+}
+
 // Without the list of VMs, acknowledgements of all known ones prove nothing.
 func TestWaitForAcknowledgementsWithoutList(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/promotion/run/revoke.go
+++ b/internal/promotion/run/revoke.go
@@ -127,23 +127,23 @@
 		ask(members.Listed)
 	})
 	calls.Wait()
-	for vm, h := range acks.histories {
-		acks.members.Include(vm, h)
+	for _, h := range acks.histories {
+		acks.members.Include(h)
 	}
 	return acks
 }
 
 // listAfterClaim returns a list of VMs that was read after a claim was written; none if it
 // cannot be read.
-func (x *Executor) listAfterClaim(token uint64) []string {
-	if listed, found := x.takePeerList(token); found {
-		return listed
+func (x *Executor) listAfterClaim(token uint64) primacy.FreshList {
+	if list, found := x.takePeerList(token); found {
+		return list
 	}
-	listed, err := x.deps.Primacy.ReadList()
+	list, err := x.deps.Primacy.ReadList()
 	if err != nil {
 		x.deps.Log.Warn("vm_list_unknown", "token", token, "error", err)
 	}
-	return listed
+	return list.Fresh()
 }
 
 // askToAcknowledge asks one VM to acknowledge a designation.
