Record VMs that start together in one write

At a first start the VM that reads the store has its own entry 1.5 s before it sees the others'. A change now waits for VMs that become established within 5 s, for 5 s at most.

TestVMsThatStartTogetherShareOneRecord.

--- a/internal/primacy/established.go
+++ b/internal/primacy/established.go
@@ -1,7 +1,6 @@
 package primacy
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -98,24 +97,32 @@
 	}
 }
 
-// NextRecord returns the record that the store should have, and whether it differs from the
-// one in the last list. VMs that have left stay in it for ListWindow: while evidence that was
-// counted with them is valid, a promotion has to know of them.
-func (t *Tenure) NextRecord() (EstablishedRecord, bool) {
-	next := EstablishedRecord{Epoch: t.list.Epoch, VMs: map[string]string{}}
+// NextRecord returns the record that the store should have, and whether it has to be written
+// now. VMs that have left stay in it for ListWindow: while evidence that was counted with them
+// is valid, a promotion has to know of them. A change waits for VMs that become established
+// soon, so that VMs that start together share one write: at most for batch.
+func (t *Tenure) NextRecord(batch time.Duration) (next EstablishedRecord, isDue bool) {
+	next = EstablishedRecord{Epoch: t.list.Epoch, VMs: map[string]string{}}
+	recorded, soon, overdue := t.list.Recorded(), false, time.Duration(0)
 	for id, at := range t.gone {
-		if t.asOf-at <= ListWindow {
+		if age := t.asOf - at; age <= ListWindow {
 			next.VMs[id] = t.list.Record.VMs[id]
+		} else {
+			overdue = max(overdue, age-ListWindow)
 		}
 	}
-	recorded := t.list.Recorded()
 	for id, at := range t.since {
-		if registration := t.list.Registrations[id]; registration != "" && (t.asOf-at > ListWindow || recorded && t.list.isRecorded(id)) {
+		age, registration := t.asOf-at, t.list.Registrations[id]
+		switch {
+		case registration == "":
+		case recorded && t.list.isRecorded(id):
 			next.VMs[id] = registration
+		case age > ListWindow:
+			next.VMs[id] = registration
+			overdue = max(overdue, age-ListWindow)
+		case age > ListWindow-batch:
+			soon = true
 		}
 	}
-	if !recorded {
-		return next, len(next.VMs) > 0
-	}
-	return next, !maps.Equal(next.VMs, t.list.Record.VMs)
+	return next, overdue > 0 && (!soon || overdue >= batch)
 }
--- a/internal/primacy/established_test.go
+++ b/internal/primacy/established_test.go
@@ -34,7 +34,7 @@
 func (t *tenureTest) after(d time.Duration) bool {
 	t.now += d
 	t.tenure.Observe(t.list(), t.now, t.now)
-	next, changed := t.tenure.NextRecord()
+	next, changed := t.tenure.NextRecord(0)
 	if changed {
 		t.record = next
 	}
@@ -60,17 +60,39 @@
 	g.Expect(c.list().Established()).To(ConsistOf("a", "b", "joined"))
 }
 
+// VMs that start together are recorded together; those that go on joining do not keep others
+// out.
+func TestVMsThatStartTogetherShareOneRecord(t *testing.T) {
+	g := NewWithT(t)
+	const batch = 5 * time.Second
+	entries := map[string]string{"a": "r1"}
+	c := newTenureTest(entries)
+	isDue := func(after time.Duration) bool {
+		c.now += after
+		c.tenure.Observe(c.list(), c.now, c.now)
+		_, due := c.tenure.NextRecord(batch)
+		return due
+	}
+	g.Expect(isDue(0)).To(BeFalse())
+	entries["b"] = "r2"
+	g.Expect(isDue(batch - 2)).To(BeFalse())
+	entries["c"] = "r3"
+	g.Expect(isDue(batch - 2)).To(BeFalse())
+	g.Expect(isDue(primacy.ListWindow-2*batch+5)).To(BeFalse(), "a is established, b will be soon")
+	g.Expect(isDue(batch-1)).To(BeTrue(), "a has waited for long enough")
+}
+
 // The entry may have been created at any time until the list arrived.
 func TestTimeInListCountsFromArrival(t *testing.T) {
 	g := NewWithT(t)
 	c := newTenureTest(map[string]string{"a": "r1"})
 	c.tenure.Observe(c.list(), time.Hour, time.Hour+time.Second)
 	c.tenure.Observe(c.list(), time.Hour+primacy.ListWindow+time.Second, time.Hour+primacy.ListWindow+2*time.Second)
-	_, changed := c.tenure.NextRecord()
+	_, changed := c.tenure.NextRecord(0)
 	g.Expect(changed).To(BeFalse())
 	c.tenure.Observe(c.list(), time.Hour, time.Hour+time.Minute) // late
 	c.tenure.Observe(c.list(), time.Hour+primacy.ListWindow+time.Second+1, time.Hour+primacy.ListWindow+2*time.Second)
-	_, changed = c.tenure.NextRecord()
+	_, changed = c.tenure.NextRecord(0)
 	g.Expect(changed).To(BeTrue())
 }
 
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -194,7 +194,7 @@
 // right, with a delay.
 func (w *world) recordEstablished(id string, delay time.Duration) {
 	vm := w.vms[id]
-	if next, changed := vm.tenure.NextRecord(); changed && !vm.noStore {
+	if next, changed := vm.tenure.NextRecord(0); changed && !vm.noStore {
 		w.late = append(w.late, lateRecord{at: w.now + delay, version: vm.version, record: next})
 		w.advance(0)
 	}
--- a/internal/primacy/run/established.go
+++ b/internal/primacy/run/established.go
@@ -12,7 +12,7 @@
 )
 
 // recordInterval is the minimum time between two writes of the record of the established VMs
-// by one VM, so that VMs that join one after the other share them.
+// by one VM, and how long one waits for VMs that become established soon.
 const recordInterval = 5 * time.Second
 
 // decodeEstablished decodes the record of the established VMs; zero if there is none or it
@@ -35,7 +35,7 @@
 func (r *Refresher) recordEstablished() {
 	now := clock.Boottime()
 	r.mu.Lock()
-	next, changed := r.tenure.NextRecord()
+	next, changed := r.tenure.NextRecord(recordInterval)
 	version, due := r.list.recordVersion, now-r.recordedAt >= recordInterval
 	if changed && due {
 		r.recordedAt = now
