Count departed VMs also from a record of an earlier epoch

The record names another epoch, so the promotion knew of no VM that had left and went on at once, while the other one used the replaced primary. A record of an earlier epoch proves no more that a VM has stayed, but it still tells who may have left; one too many only makes a promotion wait longer.

TestVMThatLeftBeforeReturnOfStoreCountsAsDeparted fails without it.

--- a/internal/primacy/established.go
+++ b/internal/primacy/established.go
@@ -42,12 +42,10 @@
 	return ids
 }
 
-// Departed returns the recorded VMs whose entries are gone or have been created again.
+// Departed returns the recorded VMs whose entries are gone or have been created again, in
+// whatever epoch they were recorded: a promotion that counts one too many only waits longer.
 func (l List) Departed() []string {
 	var ids []string
-	if !l.Recorded() {
-		return nil
-	}
 	for id := range l.Record.VMs {
 		if !l.isRecorded(id) || !slices.Contains(l.IDs, id) {
 			ids = append(ids, id)
--- a/internal/primacy/established_test.go
+++ b/internal/primacy/established_test.go
@@ -133,3 +133,18 @@
 	g.Expect(c.after(1)).To(BeTrue())
 	g.Expect(c.record).To(Equal(primacy.EstablishedRecord{Epoch: 1, VMs: map[string]string{"a": "r1", "b": "r2"}}))
 }
+
+// A VM whose entry was removed before the store returned may still run. The record of before is
+// all that tells of it.
+func TestVMThatLeftBeforeReturnOfStoreCountsAsDeparted(t *testing.T) {
+	g := NewWithT(t)
+	c := newTenureTest(map[string]string{"a": "r1", "b": "r2"})
+	c.after(0)
+	g.Expect(c.after(primacy.ListWindow + 1)).To(BeTrue())
+	c.epoch, c.entries = c.epoch+1, map[string]string{"a": "r1"}
+	g.Expect(c.list().Established()).To(BeEmpty())
+	g.Expect(c.list().Departed()).To(ConsistOf("b"))
+	c.after(0)
+	g.Expect(c.after(primacy.ListWindow + 1)).To(BeTrue())
+	g.Expect(c.record).To(Equal(primacy.EstablishedRecord{Epoch: 1, VMs: map[string]string{"a": "r1"}}))
+}
