Search all orders of joins, ends and restarts, and list what the design does not cover

The searches of primacy and promotion left out what docs/design/platform.md assumes not to happen, so they could not test it. They draw it now: VMs that are powered off, stopped, come back under their name, join on either side of a cut, and restart in herds at any time, late writes of the record, and copies of the store of any age. VMs that run on although an operator has removed their entries stay in the search where the record or another VM knows of them; otherwise operators are asked to stop them first.

--- a/internal/primacy/fleet_test.go
+++ b/internal/primacy/fleet_test.go
@@ -141,7 +141,7 @@
 		n := rapid.SampledFrom([]int{len(w.ids) / 2, 1, len(w.ids) - 1, 0}).Draw(t, "cut off")
 		w.cut(rapid.Permutation(w.ids).Draw(t, "order")[:n], rapid.IntRange(0, 5).Draw(t, "store") == 0)
 	case "join":
-		w.join(withStore.Draw(t, "through"))
+		w.join(w.vms[withStore.Draw(t, "beside")].partition)
 	case "restart":
 		for _, id := range w.herd(t) {
 			if w.runs(id) {
@@ -155,8 +155,8 @@
 			w.run(time.Duration(rapid.IntRange(0, 16).Draw(t, "quarters")) * refreshEvery)
 		}
 	case "power off":
-		if id := vm.Draw(t, "vm"); w.settled == w.epoch || w.restartsUnsettled {
-			w.vms[id].stopped = true
+		if id := vm.Draw(t, "vm"); w.runs(id) {
+			w.end(id)
 		}
 	case "stop", "leave":
 		w.leave(vm.Draw(t, "vm"), step == "stop")
--- a/internal/primacy/fuzz_test.go
+++ b/internal/primacy/fuzz_test.go
@@ -74,6 +74,8 @@
 	// restartsUnsettled: VMs restart, or end, between a return of the store from an older copy
 	// and the settlement of its epoch, or shortly before the return.
 	restartsUnsettled bool
+	// joinsAlone: VMs join while they reach no VM that was listed before.
+	joinsAlone bool
 }
 
 // leaver is a VM whose entry was removed while it runs, with the VMs that remember it.
@@ -142,11 +144,25 @@
 	if w.settled != w.epoch && !w.restartsUnsettled || !w.leaversKnownWithout(id) {
 		return
 	}
+	w.forgetLeavers(id)
+	w.start(id)
+}
+
+// end ends the process of a VM for good. Its entry stays.
+func (w *world) end(id string) {
+	if w.settled != w.epoch && !w.restartsUnsettled || !w.leaversKnownWithout(id) {
+		return
+	}
+	w.forgetLeavers(id)
+	w.vms[id].stopped = true
+}
+
+// forgetLeavers records that a VM remembers no VM any more that runs on without its entry.
+func (w *world) forgetLeavers(id string) {
 	for other, l := range w.leavers {
 		l.knownBy = slices.DeleteFunc(slices.Clone(l.knownBy), func(vm string) bool { return vm == id })
 		w.leavers[other] = l
 	}
-	w.start(id)
 }
 
 // leaversKnownWithout reports whether the store's record or another listed VM has each VM that
@@ -154,7 +170,7 @@
 // (docs/operating/servers-and-vms.md), so nothing else has to know it.
 func (w *world) leaversKnownWithout(id string) bool {
 	for other, l := range w.leavers {
-		recorded := w.list().Recorded() && w.record.VMs[other] != ""
+		recorded := w.record.VMs[other] != ""
 		remembered := slices.ContainsFunc(l.knownBy, func(vm string) bool { return vm != id && slices.Contains(w.listed, vm) })
 		if !recorded && !remembered && w.now-l.at <= primacy.ListWindow {
 			return false
@@ -163,11 +179,19 @@
 	return true
 }
 
-// register creates the entry of a VM if the list lacks it.
+// register creates the entry of a VM if the list lacks it. The VM announces itself to the
+// listed VMs that it reaches.
 func (w *world) register(id string) {
 	if w.vms[id].noStore || w.vms[id].stopped || w.entries[id] != "" {
 		return
 	}
+	reached := slices.DeleteFunc(slices.Clone(w.listed), func(other string) bool { return !w.reaches(id, other) })
+	if len(reached) == 0 && len(w.listed) > 0 && !w.joinsAlone {
+		return
+	}
+	for _, other := range reached {
+		w.vms[other].announced[id] = true
+	}
 	w.created++
 	w.listed = append(slices.Clone(w.listed), id)
 	w.entries = maps.Clone(w.entries)
@@ -200,23 +224,14 @@
 	}
 }
 
-// join adds a VM on the side of another one. It announces itself to the listed VMs that it
-// reaches, one at least, and serves once it has read the store.
-func (w *world) join(through string) {
+// join adds a VM on one side of a cut. It serves once it has read the store.
+func (w *world) join(partition int) {
 	if len(w.ids) == maxFuzzVMs {
 		return
 	}
-	partition := w.vms[through].partition
-	reached := slices.DeleteFunc(slices.Clone(w.listed), func(other string) bool { return !w.runs(other) || w.vms[other].partition != partition })
-	if len(reached) == 0 {
-		return
-	}
 	id := w.add()
 	w.vms[id].partition = partition
 	w.start(id)
-	for _, other := range reached {
-		w.vms[other].announced[id] = true
-	}
 	w.readStore(id)
 }
 
@@ -226,12 +241,17 @@
 // leave removes the entry of a VM, which is stopped or runs on behind a cut.
 func (w *world) leave(id string, stop bool) {
 	others := slices.DeleteFunc(slices.Clone(w.listed), func(other string) bool { return other == id })
-	if w.entries[id] == "" || len(others) == 0 || w.settled != w.epoch && !w.restartsUnsettled {
+	if w.entries[id] == "" || len(others) == 0 {
 		return
 	}
-	w.vms[id].stopped = stop
-	if !stop {
-		forgets := func(other string) bool { return !slices.Contains(w.vms[other].ledger.Listed(), id) }
+	if stop {
+		if w.end(id); w.runs(id) {
+			return
+		}
+	} else {
+		forgets := func(other string) bool {
+			return !w.runs(other) || !slices.Contains(w.vms[other].ledger.Listed(), id)
+		}
 		recorded := w.list().Recorded() && w.record.VMs[id] == w.entries[id]
 		if !recorded && slices.ContainsFunc(others, forgets) || !w.leaversKnownWithout(id) {
 			return
@@ -295,6 +315,11 @@
 		return
 	}
 	c := w.copies[len(w.copies)-1-age]
+	for id, l := range w.leavers { // a copy from before one was recorded
+		if w.now-l.at <= primacy.ListWindow && c.entries[id] == "" && c.record.VMs[id] == "" {
+			return
+		}
+	}
 	w.store, w.revision, w.listed, w.entries, w.record, w.version = c.store, c.revision, c.listed, c.entries, c.record, c.version
 	w.epoch++
 	w.copies = nil
@@ -446,6 +471,26 @@
 // restarts, delays and promotions, no VM may use a server that another one has replaced.
 func TestAtMostOneServerIsUsable(t *testing.T) { searchForReplacedServer(t, uncovered{}) }
 
+// As above, where VMs restart between a return of the store from an older copy and the
+// settlement of its epoch. If every VM that acknowledged a designation does so, nobody knows it.
+func TestAtMostOneServerIsUsableAfterRestartsBeforeSettlement(t *testing.T) {
+	searchForReplacedServer(t, uncovered{restartsUnsettled: true})
+}
+
+// All VMs are cut off from the store, with the primary. One that joins on the side of the store
+// does not reach them. They confirm to each other that all VMs that they know still use the
+// primary, as in an outage of the store, while the new one replaces it.
+func TestVMThatJoinsAloneDoesNotReplacePrimaryInUse(t *testing.T) {
+	w := newWorld(t, 2)
+	w.joinsAlone = true
+	w.age(2)
+	w.cut([]string{"vm0", "vm1"}, false)
+	w.run(time.Second)
+	w.join(0)
+	w.promote("vm2")
+	w.run(15 * time.Second)
+}
+
 func searchForReplacedServer(t *testing.T, classes uncovered) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -487,7 +532,7 @@
 			case 18, 19:
 				w.settle(id)
 			case 20, 21:
-				w.join(id)
+				w.join(w.vms[id].partition)
 			case 22:
 				w.leave(id, rapid.Bool().Draw(t, "stop"))
 			case 23:
@@ -536,11 +581,11 @@
 				w.vms[id].partition, w.vms[id].noStore = 1, true
 			}
 			if !slices.Contains(restarted, "join") {
-				w.join("vm2")
+				w.join(0)
 			}
 			for _, id := range restarted {
 				if id == "join" {
-					w.join("vm2")
+					w.join(0)
 					continue
 				}
 				w.start(id)
--- a/internal/promotion/lost_test.go
+++ b/internal/promotion/lost_test.go
@@ -46,24 +46,26 @@
 // simGroup simulates a database group with one synchronous replica, the store, and the VM that
 // acts for the group, whose machine may be replaced by a new one at any time.
 type simGroup struct {
-	t            *rapid.T
-	now          time.Duration
-	machine      *Machine
-	servers      []*simServer
-	marksFollow  bool   // the term of a mark is that of the leader, not that of the last commit
-	leader       string // as the platform knows
-	steppedDown  bool   // the leader was made a replica
-	lostAt       time.Duration
-	term         uint64
-	commits      int
-	acked        []int
-	designation  topology.Designation
-	acknowledged uint64 // token of the designation that all VMs know
-	record       MembersRead
-	storeDown    bool
-	queue        []reducer.Effect
-	lost         string // what broke the invariant
-	promotions   int
+	t       *rapid.T
+	now     time.Duration
+	machine *Machine
+	servers []*simServer
+	// restartsAnyTime: the VM may restart before a server that has joined is recorded.
+	restartsAnyTime bool
+	marksFollow     bool   // the term of a mark is that of the leader, not that of the last commit
+	leader          string // as the platform knows
+	steppedDown     bool   // the leader was made a replica
+	lostAt          time.Duration
+	term            uint64
+	commits         int
+	acked           []int
+	designation     topology.Designation
+	acknowledged    uint64 // token of the designation that all VMs know
+	record          MembersRead
+	storeDown       bool
+	queue           []reducer.Effect
+	lost            string // what broke the invariant
+	promotions      int
 }
 
 func newSimGroup(t *rapid.T, servers int) *simGroup {
@@ -236,11 +238,11 @@
 	g.post(reducer.Tick{Now: g.now})
 }
 
-// restartVM replaces the machine by a new one, which has observed nothing. Not simulated is
-// that this happens before a server that has just joined is recorded.
+// restartVM replaces the machine by a new one, which has observed nothing. Unless any restart
+// is to be simulated, it does not happen before a server that has just joined is recorded.
 func (g *simGroup) restartVM() {
 	for _, s := range g.servers {
-		if !s.ended && !g.record.Members.has(s.id) {
+		if !g.restartsAnyTime && !s.ended && !g.record.Members.has(s.id) {
 			return
 		}
 	}
@@ -434,10 +436,42 @@
 // Invariant: in a group with synchronous replication, a promoted server has every acknowledged
 // commit. The search covers crashes, deaf replicas, expired and missing registrations, planned
 // leaves, VM restarts and store outages in any order, each shorter than ReplicaReturnLimit.
-func TestPromotedServerHasEveryAcknowledgedCommit(t *testing.T) {
+func TestPromotedServerHasEveryAcknowledgedCommit(t *testing.T) { searchForLostCommit(t, false) }
+
+// As above, where VMs also restart before a server that has joined is recorded.
+func TestPromotedServerHasEveryAcknowledgedCommitAfterAnyRestart(t *testing.T) {
+	searchForLostCommit(t, true)
+}
+
+// A server joins while the store takes no writes of the VM, which restarts before it has
+// recorded the server. The server alone has received a commit, and its registration ends.
+func TestServerThatJoinedCountsBeforeItIsRecorded(t *testing.T) {
+	g := newSimGroup(nil, 3)
+	g.restartsAnyTime = true
+	g.run(time.Second)
+	g.storeDown = true
+	g.join()
+	g.run(time.Second)
+	for _, id := range []string{"s2", "s3"} {
+		g.server(id).deaf = true
+	}
+	g.commit()
+	g.crash(g.server("s1"))
+	g.expire(g.server("s1"), false)
+	g.expire(g.server("s4"), true)
+	g.storeDown = false
+	g.restartVM()
+	g.run(5 * time.Second)
+	if g.lost != "" {
+		t.Error(g.lost)
+	}
+}
+
+func searchForLostCommit(t *testing.T, restartsAnyTime bool) {
 	promotions, acked := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		g := newSimGroup(t, rapid.IntRange(3, 4).Draw(t, "servers"))
+		g.restartsAnyTime = restartsAnyTime
 		g.marksFollow = rapid.Bool().Draw(t, "marks follow")
 		g.run(time.Second)
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
