--- a/internal/primacy/established_test.go
+++ b/internal/primacy/established_test.go
@@ -144,7 +144,7 @@
 	c.epoch, c.entries = c.epoch+1, map[string]string{"a": "r1"}
 	g.Expect(c.list().Established()).To(BeEmpty())
 	g.Expect(c.list().Departed()).To(ConsistOf("b"))
-	c.after(0)
+	g.Expect(c.after(time.Second)).To(BeFalse())
 	g.Expect(c.after(primacy.ListWindow + 1)).To(BeTrue())
 	g.Expect(c.record).To(Equal(primacy.EstablishedRecord{Epoch: 1, VMs: map[string]string{"a": "r1"}}))
 }
