--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -527,6 +527,25 @@
 	f.g.Eventually(func() bool { return f.store.Has("egretroad-vms", f.vms[2].settings.VM) }, "20s", "20ms").Should(BeTrue())
 }
 
+// The record of the established VMs costs no write of a VM that starts or restarts: the fleet
+// writes it once, when its VMs have been listed for long.
+func TestEstablishedVMsAreRecordedOnceForFleet(t *testing.T) {
+	f := newFleet(t)
+	writes := func() int {
+		return f.store.Calls("POST", "egretroad-vms") + f.store.Calls("PUT", "egretroad-vms")
+	}
+	f.g.Expect(writes()).To(Equal(len(f.vms)), "one entry each")
+	f.g.Eventually(func() bool { return f.store.Has("egretroad-vms", "established-vms") }, "60s", "100ms").Should(BeTrue())
+	for i := range f.vms {
+		f.restart(i)
+	}
+	for i := range f.vms {
+		f.g.Expect(f.vms[i].log.snapshot()).To(ContainSubstring("event=vm_registered"))
+		f.g.Expect(f.vms[i].log.snapshot()).To(ContainSubstring("existed=true"))
+	}
+	f.g.Expect(writes()).To(Equal(len(f.vms) + 1))
+}
+
 // VMs that have only copies replace a primary that crashed while the store was unavailable.
 func TestPrimaryThatCrashedInStoreOutageIsReplacedAfterStarts(t *testing.T) {
 	f := newFleet(t)
