--- a/internal/primacy/established.go
+++ b/internal/primacy/established.go
@@ -1,9 +1,6 @@
 package primacy
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // EstablishedRecord is the value of the object that records which VMs are established: their
 // entries in the list of VMs have been there for at least ListWindow. It outlives every
@@ -24,7 +21,7 @@
 type List struct {
 	IDs           []string
 	Epoch         uint64            // of the store
-	Registrations map[string]string // by VM ID; none for entries of earlier versions
+	Registrations map[string]string // of the listed VMs, by ID; none for entries of earlier versions
 	Record        EstablishedRecord // zero if there is none or it cannot be read
 }
 
@@ -47,7 +44,7 @@
 func (l List) Departed() []string {
 	var ids []string
 	for id := range l.Record.VMs {
-		if !l.isRecorded(id) || !slices.Contains(l.IDs, id) {
+		if !l.isRecorded(id) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/primacy/run/established.go
+++ b/internal/primacy/run/established.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -35,13 +36,13 @@
 func (r *Refresher) recordEstablished() {
 	now := clock.Boottime()
 	r.mu.Lock()
-	next, changed := r.tenure.NextRecord(recordInterval)
-	version, due := r.list.recordVersion, now-r.recordedAt >= recordInterval
-	if changed && due {
+	next, isDue := r.tenure.NextRecord(recordInterval)
+	version := r.list.recordVersion
+	if isDue = isDue && now-r.recordedAt >= recordInterval; isDue {
 		r.recordedAt = now
 	}
 	r.mu.Unlock()
-	if !changed || !due {
+	if !isDue {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -54,10 +55,5 @@
 		r.deps.Log.Warn("established_vms_not_recorded", "epoch", next.Epoch, "error", err)
 		return
 	}
-	var ids []string
-	for id := range next.VMs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	r.deps.Log.Info("established_vms_recorded", "epoch", next.Epoch, "vms", ids)
+	r.deps.Log.Info("established_vms_recorded", "epoch", next.Epoch, "vms", slices.Sorted(maps.Keys(next.VMs)))
 }
