Log what a VM had in force when it refused a session or a statement

Callers saw requests refused for routes that a confirmed configuration had. The log could not tell why: session_refused named the highest version of any entry, a refused statement of an open session had no line at all, and nothing told up to which version a VM held every entry.

Evidence: TestRefusalLogsConfigurationInForce, TestSnapshotTellsToWhichConfigurationEntriesBelong and TestCauseOfStatementWithoutRoute; none of them could be written against the code before. No decision depends on the new fields.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -159,6 +159,9 @@
 	return found
 }
 
+// Len returns the number of entries.
+func (c *Catalogue) Len() int { return len(c.entries) }
+
 // Names returns the sorted names of all entries.
 func (c *Catalogue) Names() []string {
 	names := make([]string, 0, len(c.entries))
--- a/internal/control/document_test.go
+++ b/internal/control/document_test.go
@@ -177,6 +177,18 @@
 	g.Expect(receiver.inForce()).To(Equal(latest))
 }
 
+// The snapshot tells up to which configuration a VM holds all entries, and how many are of later ones.
+func TestSnapshotTellsToWhichConfigurationEntriesBelong(t *testing.T) {
+	g := NewWithT(t)
+	v := newDocumentVM("a1", documentFleet, 11, document{"x": 1, "y": 1})
+	g.Expect(v.snapshot.Configuration).To(Equal(topology.Configuration{Complete: 11, From: "list of the store", Entries: 2}))
+	v.receiveUpdate("a2", control.ObjectUpdate{Objects: []control.ObjectRecord{documentRecord("z", 1, 15)}})
+	g.Expect(v.snapshot.Configuration).To(Equal(topology.Configuration{Complete: 11, From: "list of the store", Entries: 3, Later: 1}))
+	g.Expect(v.m.Dump().Later).To(Equal([]string{"z@15"}))
+	v.read(15, document{"x": 1, "y": 1, "z": 1})
+	g.Expect(v.snapshot.Configuration).To(Equal(topology.Configuration{Complete: 15, From: "watch", Entries: 3}))
+}
+
 // documentModel is a fleet over a store whose documents change, with late and lost messages.
 type documentModel struct {
 	documents map[uint64]document
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"maps"
 	"sort"
 	"time"
@@ -15,13 +16,14 @@
 	Complete    Completeness      `json:"complete"`
 	CompleteBy  map[string]string `json:"completeBy"` // by kind; source of the completeness
 	InForce     uint64            `json:"inForce"`
-	Watcher     string            `json:"watcher"`    // first VM to watch the platform's store for this data centre
-	Watching    bool              `json:"watching"`   // this VM watches the store
-	WatchAgeMS  int64             `json:"watchAgeMs"` // time since the store last answered the watch on which this VM depends; -1: never
-	Listed      []string          `json:"listed"`     // kinds that the store has listed to this VM, which its watch covers
-	Answered    map[string]string `json:"answered"`   // by kind; time since the store last answered this VM, or "never"
-	Store       string            `json:"store"`      // "ok" or the last error
-	Waiting     []string          `json:"waiting"`    // pending work and what it waits for
+	Later       []string          `json:"later,omitempty"` // entries of later configurations than Complete
+	Watcher     string            `json:"watcher"`         // first VM to watch the platform's store for this data centre
+	Watching    bool              `json:"watching"`        // this VM watches the store
+	WatchAgeMS  int64             `json:"watchAgeMs"`      // time since the store last answered the watch on which this VM depends; -1: never
+	Listed      []string          `json:"listed"`          // kinds that the store has listed to this VM, which its watch covers
+	Answered    map[string]string `json:"answered"`        // by kind; time since the store last answered this VM, or "never"
+	Store       string            `json:"store"`           // "ok" or the last error
+	Waiting     []string          `json:"waiting"`         // pending work and what it waits for
 	Objects     []ObjectDump      `json:"objects"`
 	Members     []MemberDump      `json:"members"`
 	Homes       map[string]string `json:"homes"` // VM by server
@@ -61,6 +63,7 @@
 		Complete:    m.complete,
 		CompleteBy:  maps.Clone(m.completeFrom),
 		InForce:     m.inForceRevision(),
+		Later:       m.laterEntries(),
 		Watcher:     m.ring.watcher(),
 		Watching:    m.watch.watching,
 		WatchAgeMS:  m.watchAgeMS(),
@@ -74,6 +77,16 @@
 	}
 }
 
+// laterEntries returns name@version of the entries of later configurations than the one up to
+// which this VM is complete, by name.
+func (m *Machine) laterEntries() []string {
+	var entries []string
+	for _, r := range m.changedEntries() {
+		entries = append(entries, fmt.Sprintf("%s@%d", r.Name, r.Version))
+	}
+	return entries
+}
+
 func (m *Machine) watchAgeMS() int64 {
 	contact := m.watchContact()
 	if contact == 0 {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -80,7 +80,7 @@
 		m.publishKnownVMs()
 		return
 	}
-	if !m.snapshot.dirty(m.Ready()) {
+	if !m.snapshot.dirty(m.Ready()) && !m.configurationChanged() {
 		return
 	}
 	if m.snapshot.publishedReady && m.now-m.snapshot.publishedAt < m.opts.MinPublishInterval {
@@ -125,6 +125,7 @@
 	if s.catalogueChanged {
 		next.Catalogue = m.buildCatalogue()
 	}
+	next.Configuration = m.configuration(next.Catalogue)
 	if s.vmsChanged {
 		next.VMs = m.buildVMs()
 		next.Listed, next.Dead = m.buildListed()
@@ -147,6 +148,21 @@
 	return catalogue.New(entries)
 }
 
+// configuration describes the entries of a catalogue that was built now.
+func (m *Machine) configuration(c *catalogue.Catalogue) topology.Configuration {
+	return topology.Configuration{
+		Complete: m.completeUpTo(platform.KindCatalogue), From: m.completeFrom[platform.KindCatalogue],
+		Entries: c.Len(), Later: len(m.document.changed),
+	}
+}
+
+// configurationChanged reports whether the snapshot tells another state of the configuration
+// than that of this VM. A completeness that covers single entries rises without a change.
+func (m *Machine) configurationChanged() bool {
+	current := m.snapshot.current
+	return m.opts.CatalogueIsDocument && current.Configuration != m.configuration(current.Catalogue)
+}
+
 func (m *Machine) buildVMs() map[string]topology.VM {
 	vms := make(map[string]topology.VM)
 	for id, peer := range m.members.members {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -98,9 +98,11 @@
 	if known == nil || revision <= *known {
 		return
 	}
+	previous := *known
 	*known, m.completeFrom[kind] = revision, from
 	if m.isDocument(kind) {
 		m.forgetChangedEntries(revision)
+		m.log("configuration_complete", "version", revision, "previous", previous, "from", from, "later_entries", len(m.document.changed))
 	}
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -164,6 +164,10 @@
 func Cause(lines []Line) string {
 	for i := len(lines) - 1; i >= 0; i-- {
 		f := lines[i].Fields
+		if f["event"] == "statement_refused" {
+			return fmt.Sprintf("request %s was refused by VM %s: it holds no route of database %s; it holds every route up to configuration %s (%s), and %s of later ones.",
+				f["id"], f["vm"], f["database"], f["complete"], f["complete_from"], f["later_entries"])
+		}
 		if f["event"] != "statement" {
 			continue
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -34,6 +34,15 @@
 		"no slot of the server was free in time: the server is overloaded, or slow (server s2 by VM v1, queued 290ms, at the server 0s)."))
 }
 
+func TestCauseOfStatementWithoutRoute(t *testing.T) {
+	g := NewWithT(t)
+	const log = `time=T1 level=info component=session event=statement_refused vm=v1 id=abc verb=read session=7 database=orders revision=11 complete=7 complete_from="list of the store" entries=3 later_entries=1`
+	lines, err := explain.Read([]io.Reader{strings.NewReader(log)}, "abc")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(explain.Cause(lines)).To(Equal("request abc was refused by VM v1: it holds no route of database orders; " +
+		"it holds every route up to configuration 7 (list of the store), and 1 of later ones."))
+}
+
 func TestParse(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(explain.Parse(`noise a=1 b="two words" c= d="quo\"te"`)).To(Equal(map[string]string{"a": "1", "b": "two words", "c": "", "d": `quo"te`}))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -359,6 +359,8 @@
 func newPublisher(s Settings, m *metrics.Registry) *topology.Publisher {
 	p := topology.NewPublisher(&topology.Snapshot{Self: s.Self.ID})
 	m.Gauge("configuration_revision", "Store revision of the configuration in force.", func() float64 { return float64(p.Snapshot().Revision) })
+	m.Gauge("configuration_complete", "Version of the configuration up to which every change is in force.", func() float64 { return float64(p.Snapshot().Configuration.Complete) })
+	m.Gauge("configuration_later_entries", "Entries in force that belong to later configurations.", func() float64 { return float64(p.Snapshot().Configuration.Later) })
 	return p
 }
 
--- a/internal/session/report.go
+++ b/internal/session/report.go
@@ -44,6 +44,15 @@
 	e.metrics.statements.WithLabelValues(freshnessNone, code.String(), "").Inc()
 }
 
+// recordUnrouted counts and logs the refusal of a session or statement whose database has no
+// entry, with the configuration that was in force.
+func (s *session) recordUnrouted(event string, fields ...any) {
+	s.engine.countUnrouted(statement.UnknownDatabase)
+	snapshot := s.engine.source.Snapshot()
+	fields = append(fields, "session", s.id, "database", s.database, "revision", snapshot.Revision)
+	s.engine.log.Info(event, append(fields, snapshot.Configuration.LogFields()...)...)
+}
+
 // observe records the metrics of a routed statement.
 func (x *execution) observe(result broker.Result, reply statement.Reply, took time.Duration) {
 	freshness := x.entry.Freshness
--- a/internal/session/run.go
+++ b/internal/session/run.go
@@ -36,7 +36,7 @@
 func (s *session) runSingle(st statement.Statement, prepared *statement.Prepared, arrived time.Duration) statement.Reply {
 	entry, err := s.engine.entry(s.database)
 	if err != nil {
-		s.engine.countUnrouted(statement.UnknownDatabase)
+		s.recordUnrouted("statement_refused", "id", st.ID, "verb", st.Verb)
 		return statement.Reply{Code: statement.UnknownDatabase, Detail: err.Error()}
 	}
 	x := &execution{session: s, statement: st, prepared: prepared, entry: entry, lane: s.engine.newLane(), arrived: arrived, startedAt: arrived}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -125,8 +125,7 @@
 	}
 	s.database = strings.Clone(database) // the message may be large
 	if _, err := s.engine.entry(database); err != nil {
-		s.engine.log.Info("session_refused", "session", s.id, "database", database, "revision", s.engine.source.Snapshot().Revision)
-		s.engine.countUnrouted(statement.UnknownDatabase)
+		s.recordUnrouted("session_refused")
 		s.sendFatalError(&ProtocolError{Code: statement.UnknownDatabase, Detail: "no database of that name"})
 		return
 	}
@@ -347,7 +346,7 @@
 	}
 	entry, err := s.engine.entry(s.database)
 	if err != nil {
-		s.engine.countUnrouted(statement.UnknownDatabase)
+		s.recordUnrouted("statement_refused", "id", st.ID, "verb", st.Verb)
 		return statement.Reply{Code: statement.UnknownDatabase, Detail: err.Error()}
 	}
 	s.txn = &txn{verb: st.Verb, entry: entry, arrived: arrived, lane: s.engine.newLane()}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
 	"egretroad/internal/broker"
@@ -382,6 +384,22 @@
 	f.g.Expect(f.handle("b", statement.Begin).Code).To(Equal(statement.UnknownDatabase))
 }
 
+// An on-call engineer must be able to tell what a VM had in force when it refused a request.
+func TestRefusalLogsConfigurationInForce(t *testing.T) {
+	f := newFixture(t, "missing")
+	log := &bytes.Buffer{}
+	f.engine.log = eventlog.New(log, hclog.Info)
+	next := *f.publisher.Snapshot()
+	next.Revision, next.Configuration = 11, topology.Configuration{Complete: 7, From: "list of the store", Entries: 3, Later: 1}
+	f.publisher.Publish(&next)
+	for id, verb := range map[string]statement.Verb{"r1": statement.Read, "b1": statement.Begin} {
+		log.Reset()
+		f.handle(id, verb)
+		f.g.Expect(log.String()).To(ContainSubstring(`event=statement_refused id=` + id))
+		f.g.Expect(log.String()).To(ContainSubstring(`database=missing revision=11 complete=7 complete_from="list of the store" entries=3 later_entries=1`))
+	}
+}
+
 // scriptConn is a Conn that reads a fixed list of statements.
 type scriptConn struct {
 	Conn
--- a/internal/topology/snapshot.go
+++ b/internal/topology/snapshot.go
@@ -8,11 +8,26 @@
 	Self      string // ID of this VM
 	Revision  uint64 // highest platform revision contained; never decreases
 	Catalogue *catalogue.Catalogue
-	Groups    map[string]*Group // by database
-	VMs       map[string]VM     // VMs considered live, by ID, including this one
-	Listed    []string          // IDs of the VMs in the platform's list or announced since, including dead ones
-	Dead      map[string]VM     // listed VMs considered dead, by ID
-	Homes     map[string]string // ID of each server's home (the VM that serves it), by server ID
+	// Configuration tells to which configuration the catalogue belongs.
+	Configuration Configuration
+	Groups        map[string]*Group // by database
+	VMs           map[string]VM     // VMs considered live, by ID, including this one
+	Listed        []string          // IDs of the VMs in the platform's list or announced since, including dead ones
+	Dead          map[string]VM     // listed VMs considered dead, by ID
+	Homes         map[string]string // ID of each server's home (the VM that serves it), by server ID
+}
+
+// Configuration describes the entries of the catalogue that a VM holds.
+type Configuration struct {
+	Complete uint64 // version up to which the VM knows every change; 0: none
+	From     string // why it does: a list or watch of the store, or a VM; for logs
+	Entries  int    // entries in force
+	Later    int    // entries that a peer has sent since, which belong to later versions than Complete
+}
+
+// LogFields returns the fields of log lines about what a VM had in force.
+func (c Configuration) LogFields() []any {
+	return []any{"complete", c.Complete, "complete_from", c.From, "entries", c.Entries, "later_entries", c.Later}
 }
 
 // Source provides the current snapshot. Implementations are safe for concurrent use.
