--- a/internal/control/document_test.go
+++ b/internal/control/document_test.go
@@ -50,6 +50,8 @@
 type documentVM struct {
 	harness
 	id       string
+	vms      []topology.VM // the platform's list
+	listed   bool          // the VM has read the list
 	snapshot *topology.Snapshot
 	reply    control.FetchReply
 	sent     []documentMessage
@@ -60,16 +62,20 @@
 	message reducer.PeerMessage
 }
 
-func newDocumentVM(id string, fleet []string, version uint64, first document) *documentVM {
+// startDocumentVM returns a machine that processes no event before its first tick.
+func startDocumentVM(id string, fleet []string, incarnation uint64) *documentVM {
 	o := control.DefaultOptions()
 	o.SelfRegistration, o.MaxVMsAllWatching, o.DisableStatusReports, o.CatalogueIsDocument = true, 32, true, true
-	v := &documentVM{id: id, harness: harness{m: control.New(control.Config{Options: o, Self: harnessVM(id, "a"), Incarnation: 1}), now: time.Hour}}
-	var vms []topology.VM
+	v := &documentVM{id: id, harness: harness{m: control.New(control.Config{Options: o, Self: harnessVM(id, "a"), Incarnation: incarnation}), now: time.Hour}}
 	for _, other := range fleet {
-		vms = append(vms, harnessVM(other, "a"))
+		v.vms = append(v.vms, harnessVM(other, "a"))
 	}
+	return v
+}
+
+func newDocumentVM(id string, fleet []string, version uint64, first document) *documentVM {
+	v := startDocumentVM(id, fleet, 1)
 	v.step(reducer.Tick{Now: v.now})
-	v.step(control.VMsListed{List: platform.VMList{Revision: 1, VMs: vms}})
 	v.step(control.ObjectsListed{Kind: platform.KindCatalogue, List: first.list(version)})
 	v.step(control.ObjectsListed{Kind: platform.KindServer, List: platform.ObjectList{Revision: 1}})
 	return v
@@ -79,6 +85,10 @@
 func (v *documentVM) step(e reducer.Event) {
 	v.effects = nil
 	v.post(e)
+	if !v.listed {
+		v.listed = true
+		v.post(control.VMsListed{List: platform.VMList{Revision: 1, VMs: v.vms}})
+	}
 	v.tick(50 * time.Millisecond)
 	for _, effect := range v.effects {
 		switch e := effect.(type) {
@@ -107,11 +117,15 @@
 }
 
 func (v *documentVM) receiveUpdate(from string, u control.ObjectUpdate) {
+	v.receive(updateMessage(from, u))
+}
+
+func updateMessage(from string, u control.ObjectUpdate) reducer.PeerMessage {
 	body, err := msgpack.Marshal(u)
 	if err != nil {
 		panic(err) // updates always encode
 	}
-	v.receive(reducer.PeerMessage{From: from, Method: method.Objects, Body: body})
+	return reducer.PeerMessage{From: from, Method: method.Objects, Body: body}
 }
 
 // copyOf returns another VM's reply to a fetch of all objects.
--- a/internal/e2e/silence/silence_test.go
+++ b/internal/e2e/silence/silence_test.go
@@ -23,6 +23,7 @@
 	rounds            = 4
 	pauseBetween      = time.Second
 	eventuallyTimeout = 90 * time.Second
+	longestWatch      = 4 * time.Second // of the store, with the time for its answer
 )
 
 // startFleet builds the program and starts a fleet. Fleets of one process share their
@@ -40,7 +41,12 @@
 
 // expectServed waits until all VMs serve a route.
 func expectServed(g *WithT, fleet *platformfleet.Fleet, host string) {
-	for _, v := range fleet.VMs {
+	expectServedBy(g, fleet.VMs, host)
+}
+
+// expectServedBy waits until the given VMs serve a route.
+func expectServedBy(g *WithT, vms []*platformfleet.VM, host string) {
+	for _, v := range vms {
 		g.Eventually(func() bool {
 			accepted, _ := v.Serves(host)
 			return accepted
--- a/internal/standin/platformfleet/fleet.go
+++ b/internal/standin/platformfleet/fleet.go
@@ -98,6 +98,8 @@
 	// KeepsOldPrimary makes the platform neither stop a replaced primary nor refuse a low
 	// fencing token.
 	KeepsOldPrimary bool
+	// WithoutConfiguration starts the VMs before the operator has written a configuration.
+	WithoutConfiguration bool
 }
 
 // Start starts a fleet and waits until all VMs are ready. Settings and logs of the processes
@@ -122,7 +124,9 @@
 	}
 	f.store.Promote = func(_, server string) bool { return f.group.Promote(server) && f.registerServers() }
 	f.registerServers()
-	f.AddRoute("first")
+	if !o.WithoutConfiguration {
+		f.AddRoute("first")
+	}
 	for i := range dataCentres * o.VMsEach {
 		if err := f.add(i); err != nil {
 			return f, err
@@ -263,6 +267,9 @@
 	}
 }
 
+// Zone returns the VM's data centre.
+func (v *VM) Zone() string { return zoneName(v.zone) }
+
 func (v *VM) address(port int) string { return net.JoinHostPort(v.IP, fmt.Sprint(port)) }
 
 // seedList returns the addresses of the relays of the seeds as a list in TOML.
