Tell an empty store from version 1 of the configuration

Cause: a VM that had listed a store without a configuration raised its completeness to 1, because 0 meant that it knows nothing. A first configuration of version 1 was then no news: records of it that another VM sent before the store's own answer became deletions of version 1, which the store's answer of version 1 did not supersede. The first object of PostgreSQL's store, of revision 1, was affected in the same way, and the watch after an empty list began behind it.

Change: whether the store has listed a kind is kept beside the revision up to which it is complete. An empty store is revision 0, which a VM knows from its own list only and does not pass on. A copy of another VM raises each kind for itself.

A VM that can read neither kind from the store no longer becomes ready with an empty copy of another VM.

--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -37,6 +37,31 @@
 	}
 }
 
+// The same where each entry is an object of its own: the first one of a store has revision 1.
+func TestFirstObjectOfStoreIsNotTakenForDeleted(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarnessWithoutCatalogue()
+	h.effects = nil
+	h.post(control.ObjectsListed{Kind: platform.KindCatalogue})
+	h.post(control.ObjectsListed{Kind: platform.KindServer})
+	h.tick(50 * time.Millisecond)
+	g.Expect(h.m.Ready()).To(BeTrue())
+	for _, effect := range h.effects {
+		if watch, ok := effect.(control.WatchObjects); ok {
+			g.Expect(watch.Since).To(BeZero(), "the watch reports the first object")
+		}
+	}
+	h.post(updateMessage("a2", control.ObjectUpdate{Objects: []control.ObjectRecord{documentRecord("x", 1, 1)}}))
+	h.tick(50 * time.Millisecond)
+	var names []string
+	for _, effect := range h.effects {
+		if published, ok := effect.(control.Publish); ok {
+			names = published.Snapshot.Catalogue.Names()
+		}
+	}
+	g.Expect(names).To(ConsistOf("x"))
+}
+
 // claimModel is a fleet whose VMs start at any time, also before the first configuration. Their
 // answers of the store arrive late, and copies in parts.
 type claimModel struct {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"egretroad/internal/peer/method"
+	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
 )
 
@@ -29,6 +30,7 @@
 
 	objects       objectTable
 	complete      Completeness
+	listedOnce    map[string]bool   // kinds that the store has listed since the start, also without any object
 	completeFrom  map[string]string // by kind; source of the completeness, for logs and dumps
 	members       memberTable
 	ring          ring
@@ -52,6 +54,7 @@
 		cfg:           cfg,
 		opts:          cfg.Options,
 		objects:       newObjectTable(cfg.Options),
+		listedOnce:    map[string]bool{},
 		completeFrom:  map[string]string{},
 		members:       newMemberTable(),
 		self:          selfState{incarnation: cfg.Incarnation},
@@ -116,7 +119,13 @@
 }
 
 // Ready reports whether the catalogue and the groups are known.
-func (m *Machine) Ready() bool { return m.complete.lowest() > 0 }
+func (m *Machine) Ready() bool {
+	return m.isKnown(platform.KindCatalogue) && m.isKnown(m.opts.groupKind())
+}
+
+// isKnown reports whether every object of a kind is known up to some revision. Revision 0,
+// before the first object, is known from the store only: for another VM it may be over.
+func (m *Machine) isKnown(kind string) bool { return m.completeUpTo(kind) > 0 || m.listedOnce[kind] }
 
 // tick runs the periodic work that is due.
 func (m *Machine) tick(now time.Duration) {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -160,7 +160,8 @@
 		changed = m.mergeObjects(toRecords(e.List.Objects), sourceStore, e.List.Revision)
 		changed = append(changed, m.mergeObjects(m.deletionsFromList(e.Kind, e.List), sourceStore, e.List.Revision)...)
 	}
-	m.raiseComplete(e.Kind, max(e.List.Revision, 1), "list of the store")
+	m.listedOnce[e.Kind] = true
+	m.raiseComplete(e.Kind, e.List.Revision, "list of the store")
 	if !wasReady && m.Ready() {
 		m.log("catalogue_from_store", "revision", m.complete.lowest())
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -403,9 +403,11 @@
 		return
 	}
 	changed := m.mergeObjects(e.Reply.Objects, e.From, e.Reply.Complete.Catalogue)
-	if !m.Ready() && e.Reply.Complete.lowest() > 0 {
+	if !m.Ready() {
 		m.adoptCompleteness(e.Reply.Complete, "copy of "+e.From)
-		m.log("catalogue_from_peer", "from", e.From, "revision", e.Reply.Complete.lowest())
+		if m.Ready() {
+			m.log("catalogue_from_peer", "from", e.From, "revision", m.complete.lowest())
+		}
 	}
 	for _, r := range e.Reply.Members {
 		m.mergeRecord(r, e.From)
