Let the store decide between two values of the same configuration

Callers were refused until the next configuration where a VM had a wrong record of the one in force: its own answer of the store, of the same version, did not supersede that.

Change: what a VM reads from the configuration itself replaces records of the same version with another value, and is relayed. configuration_corrected is an alarm that names who had told otherwise.

Evidence: TestStoreCorrectsConfigurationOfSameVersion fails without the change (the value of the peer stays). A record of a peer still never replaces one of the same version.

--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -63,10 +63,16 @@
 		return
 	}
 	records := append(m.withoutKnownValues(toRecords(list.Objects)), m.deletionsFromList(kind, list)...)
-	for _, r := range m.mergeObjects(records, from, list.Revision) {
+	merged := m.mergeObjects(records, from, list.Revision)
+	for _, r := range merged {
 		m.document.changed[objectKey{r.Kind, r.Name}] = true
 	}
 	update := ObjectUpdate{Kind: kind, Since: since, Revision: list.Revision, Objects: m.changedEntries()}
+	if list.Revision == since && len(merged) > 0 {
+		m.alarm("configuration_corrected", "version", since, "complete_from", m.completeFrom[kind], "entries", len(merged))
+		m.completeFrom[kind] = reason
+		m.forgetChangedEntries(since)
+	}
 	m.raiseComplete(kind, list.Revision, reason)
 	if wasReady && (from == sourceWatch || len(update.Objects) <= maxRelayedObjects) {
 		m.relay(update, from)
--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -11,8 +11,10 @@
 	"pgregory.net/rapid"
 
 	"egretroad/internal/control"
+	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
 	"egretroad/internal/reducer"
+	"egretroad/internal/topology"
 )
 
 // The VM had listed the store before the first configuration, and took that for version 1.
@@ -62,6 +64,28 @@
 	g.Expect(names).To(ConsistOf("x"))
 }
 
+// What a VM reads from the store is right, also where another VM has told it otherwise.
+func TestStoreCorrectsConfigurationOfSameVersion(t *testing.T) {
+	g := NewWithT(t)
+	v := newDocumentVM("a1", documentFleet, 5, document{"x": 1, "y": 1, "z": 1})
+	wrong := []control.ObjectRecord{documentRecord("x", 2, 7), {Kind: platform.KindCatalogue, Name: "y", Version: 7, Deleted: true}}
+	v.receiveUpdate("a2", control.ObjectUpdate{Kind: platform.KindCatalogue, Since: 5, Revision: 7, Objects: wrong})
+	g.Expect(v.complete()).To(Equal(uint64(7)))
+	v.sent = nil
+	right := document{"x": 1, "y": 1}
+	v.read(7, right)
+	g.Expect(v.inForce()).To(Equal(right))
+	g.Expect(v.snapshot.Configuration).To(Equal(topology.Configuration{Complete: 7, From: "watch", Entries: 2}))
+	g.Expect(v.alarms).To(ContainElement("configuration_corrected"))
+	other := newDocumentVM("a2", documentFleet, 5, document{"x": 1, "y": 1, "z": 1})
+	for _, m := range v.sent {
+		if m.to == "a2" && m.message.Method == method.Objects {
+			other.receive(m.message)
+		}
+	}
+	g.Expect(other.inForce()).To(Equal(right), "the correction is relayed")
+}
+
 // claimModel is a fleet whose VMs start at any time, also before the first configuration. Their
 // answers of the store arrive late, and copies in parts.
 type claimModel struct {
--- a/internal/control/document_test.go
+++ b/internal/control/document_test.go
@@ -55,6 +55,7 @@
 	snapshot *topology.Snapshot
 	reply    control.FetchReply
 	sent     []documentMessage
+	alarms   []string // events
 }
 
 type documentMessage struct {
@@ -94,6 +95,10 @@
 		switch e := effect.(type) {
 		case control.Publish:
 			v.snapshot = e.Snapshot
+		case control.Log:
+			if e.Alarm {
+				v.alarms = append(v.alarms, e.Event)
+			}
 		case control.ReplyToFetch:
 			v.reply = e.Reply
 		case control.Notify:
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -86,7 +86,7 @@
 	if old == nil {
 		old = &object{}
 	}
-	if !r.supersedes(old.record) {
+	if !r.supersedes(old.record) && !t.corrects(r, old.record, source) {
 		return false, t.mergeLastValid(key, old, r, source, now)
 	}
 	if r.Deleted && !r.IsKnown() {
@@ -115,6 +115,13 @@
 	return true, next.inForce != old.inForce
 }
 
+// corrects reports whether this VM has read another value of an entry from the document than
+// the one that it holds under the same version: the document decides.
+func (t *objectTable) corrects(r, old ObjectRecord, source string) bool {
+	fromStore := source == sourceStore || source == sourceWatch
+	return fromStore && r.Kind == t.documentKind && r.Version == old.Version && !hasSameValue(r, old)
+}
+
 // withVersion returns the object with the same value under a later version.
 func (o *object) withVersion(version uint64) *object {
 	next := *o
