Take over another VM's copy as a whole, with what it lacks

Callers could be served by a route that a confirmed configuration had dropped: a VM that had listed an earlier configuration, and then got the copy of a VM that started after the change, claimed the later configuration and kept the route. It kept it until its own answer of the store, and a VM that was ready kept it as long as the store refused it.

Cause: a copy holds what its sender knows. One that has never known a route cannot send its deletion, and the receiver took the sender's completeness for its own, whatever else it held.

Change: a copy names the buckets that it holds as a whole. What is missing there, and not newer than the sender's completeness, is deleted where the sender is ahead. A VM that starts takes over the completeness only if no other bucket has changed since its request, and fetches again otherwise. Copies of earlier versions name no buckets and are treated as before.

Evidence: TestCopyEndsRoutesThatItsSenderHasNeverKnown (a VM that starts, one that is ready) and TestCopyDoesNotCompleteVMThatGotMoreMeanwhile fail without the change. TestVMThatStartedWithCopyNoticesReturnOfStore names the buckets of the copy that it makes up.

--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -86,6 +86,48 @@
 	g.Expect(other.inForce()).To(Equal(right), "the correction is relayed")
 }
 
+// The sender of a copy has never known a route that was dropped before its start. A VM that holds
+// that route goes on with it, and claims the configuration without it.
+func TestCopyEndsRoutesThatItsSenderHasNeverKnown(t *testing.T) {
+	latest := document{"y": 1}
+	for name, isReady := range map[string]bool{"a VM that starts": false, "a VM that is ready": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sender := newDocumentVM("a2", documentFleet, 7, latest)
+			v := startDocumentVM("a1", documentFleet, 1, nil)
+			v.step(reducer.Tick{Now: v.now})
+			v.step(control.ObjectsListed{Kind: platform.KindCatalogue, List: document{"x": 1, "y": 1}.list(5)})
+			if isReady {
+				v.step(control.ObjectsListed{Kind: platform.KindServer, List: platform.ObjectList{Revision: 1}})
+			}
+			v.step(v.copyOf(sender))
+			g.Expect(v.m.Ready()).To(BeTrue())
+			g.Expect(v.inForce()).To(Equal(latest))
+		})
+	}
+}
+
+// A VM that starts takes over a route from a VM that is behind, while the copy of one that is not
+// is on its way. The second copy does not have the route, and its buckets did not differ.
+func TestCopyDoesNotCompleteVMThatGotMoreMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	latest := document{"y": 1}
+	sender := newDocumentVM("a2", documentFleet, 7, latest)
+	v := startDocumentVM("a1", documentFleet, 1, []topology.VM{harnessVM("a2", "a")})
+	v.step(reducer.Tick{Now: v.now})
+	request := v.requests[0].Request
+	sender.step(control.FetchRequested{RequestID: 1, Request: request})
+	v.receiveUpdate("a3", control.ObjectUpdate{Objects: []control.ObjectRecord{documentRecord("x", 1, 5)}})
+	v.requests = nil
+	v.step(control.PeerFetched{From: "a2", Request: request, Reply: sender.reply})
+	g.Expect(v.m.Ready()).To(BeFalse())
+	g.Expect(v.requests).To(HaveLen(1), "the VM fetches again")
+	sender.step(control.FetchRequested{RequestID: 2, Request: v.requests[0].Request})
+	v.step(control.PeerFetched{From: "a2", Request: v.requests[0].Request, Reply: sender.reply})
+	g.Expect(v.m.Ready()).To(BeTrue())
+	g.Expect(v.inForce()).To(Equal(latest))
+}
+
 // claimModel is a fleet whose VMs start at any time, also before the first configuration. Their
 // answers of the store arrive late, and copies in parts.
 type claimModel struct {
@@ -110,7 +152,11 @@
 // start starts a VM's process. What was under way to the one before it is lost.
 func (m *claimModel) start(id string) {
 	m.starts++
-	v := startDocumentVM(id, documentFleet, m.starts)
+	var seeds []topology.VM
+	for _, other := range documentFleet {
+		seeds = append(seeds, harnessVM(other, "a"))
+	}
+	v := startDocumentVM(id, documentFleet, m.starts, seeds)
 	if old := m.vms[id]; old != nil {
 		v.now = old.now + time.Second
 	}
@@ -199,6 +245,7 @@
 		},
 		"deliver": m.deliver,
 		"lose":    func(*rapid.T) { m.messages = nil },
+		"answer":  m.answer,
 		"copy":    m.copy,
 		"fetched": func(t *rapid.T) {
 			v := m.draw(t)
@@ -245,14 +292,31 @@
 	m.vms[next.to].receive(next.message)
 }
 
-// copy starts a copy of another VM's objects. A part of a copy does not tell up to which
-// configuration its sender is complete.
+// copy starts a copy of all objects of another VM.
 func (m *claimModel) copy(t *rapid.T) {
 	to, from := m.draw(t), m.draw(t)
 	if to == from {
 		t.Skip("the same VM")
 	}
-	reply := to.copyOf(from)
+	m.send(t, to, to.copyOf(from))
+}
+
+// answer answers a VM's own request for a copy, which has the digests of its objects.
+func (m *claimModel) answer(t *rapid.T) {
+	to := m.draw(t)
+	if len(to.requests) == 0 {
+		t.Skip("no request")
+	}
+	request := to.requests[0]
+	to.requests = to.requests[1:]
+	from := m.vms[request.From]
+	from.step(control.FetchRequested{RequestID: 1, Request: request.Request})
+	m.send(t, to, control.PeerFetched{From: from.id, Request: request.Request, Reply: from.reply})
+}
+
+// send puts a copy, or a part of it, on its way. A part does not tell up to which
+// configuration its sender is complete.
+func (m *claimModel) send(t *rapid.T, to *documentVM, reply control.PeerFetched) {
 	if len(reply.Reply.Objects) > 0 && rapid.Bool().Draw(t, "part") {
 		reply.Reply.Objects = reply.Reply.Objects[:rapid.IntRange(0, len(reply.Reply.Objects)-1).Draw(t, "objects")]
 		reply.Reply.Complete = control.Completeness{}
--- a/internal/control/document_test.go
+++ b/internal/control/document_test.go
@@ -55,7 +55,8 @@
 	snapshot *topology.Snapshot
 	reply    control.FetchReply
 	sent     []documentMessage
-	alarms   []string // events
+	requests []control.FetchCopy // not answered yet
+	alarms   []string            // events
 }
 
 type documentMessage struct {
@@ -64,10 +65,10 @@
 }
 
 // startDocumentVM returns a machine that processes no event before its first tick.
-func startDocumentVM(id string, fleet []string, incarnation uint64) *documentVM {
+func startDocumentVM(id string, fleet []string, incarnation uint64, seeds []topology.VM) *documentVM {
 	o := control.DefaultOptions()
 	o.SelfRegistration, o.MaxVMsAllWatching, o.DisableStatusReports, o.CatalogueIsDocument = true, 32, true, true
-	v := &documentVM{id: id, harness: harness{m: control.New(control.Config{Options: o, Self: harnessVM(id, "a"), Incarnation: incarnation}), now: time.Hour}}
+	v := &documentVM{id: id, harness: harness{m: control.New(control.Config{Options: o, Self: harnessVM(id, "a"), Incarnation: incarnation, Seeds: seeds}), now: time.Hour}}
 	for _, other := range fleet {
 		v.vms = append(v.vms, harnessVM(other, "a"))
 	}
@@ -75,7 +76,7 @@
 }
 
 func newDocumentVM(id string, fleet []string, version uint64, first document) *documentVM {
-	v := startDocumentVM(id, fleet, 1)
+	v := startDocumentVM(id, fleet, 1, nil)
 	v.step(reducer.Tick{Now: v.now})
 	v.step(control.ObjectsListed{Kind: platform.KindCatalogue, List: first.list(version)})
 	v.step(control.ObjectsListed{Kind: platform.KindServer, List: platform.ObjectList{Revision: 1}})
@@ -99,6 +100,8 @@
 			if e.Alarm {
 				v.alarms = append(v.alarms, e.Event)
 			}
+		case control.FetchCopy:
+			v.requests = append(v.requests, e)
 		case control.ReplyToFetch:
 			v.reply = e.Reply
 		case control.Notify:
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -40,9 +40,10 @@
 
 // PeerFetched reports the result of FetchCopy.
 type PeerFetched struct {
-	From  string
-	Reply FetchReply
-	Err   error
+	From    string
+	Request FetchRequest
+	Reply   FetchReply
+	Err     error
 }
 
 // EventName implements reducer.Event.
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -176,6 +176,7 @@
 	h.post(control.ObjectsListed{Kind: platform.KindCatalogue, Err: unavailable})
 	h.post(control.ObjectsListed{Kind: platform.KindServer, Err: unavailable})
 	h.post(control.PeerFetched{From: "a2", Reply: control.FetchReply{
+		Buckets:  1<<64 - 1, // all: the copy is whole
 		Complete: control.Completeness{Catalogue: 3, Groups: platform.MakeVersion(1, 50)},
 	}})
 	h.tick(time.Second)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -144,8 +144,11 @@
 }
 
 // FetchReply holds the objects and members that differ from the requester's digests.
+// Objects holds every object of the buckets in Buckets that its sender knows; those of an
+// earlier version do not tell Buckets.
 type FetchReply struct {
-	Complete Completeness   `msgpack:"k"`
+	Complete Completeness   `msgpack:"k"` // of the sender; zero if more buckets differ
+	Buckets  bucketSet      `msgpack:"b,omitempty"`
 	Objects  []ObjectRecord `msgpack:"o,omitempty"`
 	Members  []Record       `msgpack:"m,omitempty"`
 }
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -29,6 +29,11 @@
 // that exceeds it is still sent whole.
 const maxFetchBytes = 512 << 10
 
+// bucketSet is a set of buckets, one bit for each.
+type bucketSet uint64
+
+func (s bucketSet) has(bucket int) bool { return s&(1<<bucket) != 0 }
+
 type objectKey struct{ kind, name string }
 
 func (k objectKey) String() string { return k.kind + "/" + k.name }
@@ -275,21 +280,25 @@
 }
 
 // differing returns the records of the buckets whose digests differ from the
-// requester's, in whole buckets up to about maxFetchBytes of values, and whether
-// more buckets differ.
-func (t *objectTable) differing(digests []uint64) (records []ObjectRecord, more bool) {
-	differs := func(b int) bool { return len(digests) != digestBuckets || digests[b] != t.buckets[b] }
+// requester's, in whole buckets up to about maxFetchBytes of values, these buckets, and
+// whether more buckets differ. Buckets without an object here count too.
+func (t *objectTable) differing(digests []uint64) (records []ObjectRecord, buckets bucketSet, more bool) {
+	for b := range digestBuckets {
+		if len(digests) != digestBuckets || digests[b] != t.buckets[b] {
+			buckets |= 1 << b
+		}
+	}
 	bytes, last := 0, -1
-	for _, o := range t.sorted(differs) {
+	for _, o := range t.sorted(buckets.has) {
 		bucket := objectKey{o.record.Kind, o.record.Name}.bucket()
 		if bytes > maxFetchBytes && bucket != last {
-			return records, true
+			return records, buckets & (1<<bucket - 1), true
 		}
 		last = bucket
 		bytes += len(o.record.Value) + len(o.record.LastValid)
 		records = append(records, o.record)
 	}
-	return records, false
+	return records, buckets, false
 }
 
 // bucketsWithoutValue returns the buckets of objects that have no value in force
--- a/internal/control/run/executor.go
+++ b/internal/control/run/executor.go
@@ -246,7 +246,7 @@
 func (x *executor) fetch(e control.FetchCopy) reducer.Event {
 	ctx, cancel := context.WithTimeout(x.ctx, x.opts.Machine.FetchTimeout)
 	defer cancel()
-	result := control.PeerFetched{From: e.From}
+	result := control.PeerFetched{From: e.From, Request: e.Request}
 	request, err := msgpack.Marshal(e.Request)
 	if err != nil {
 		result.Err = &control.MessageError{Method: method.Fetch, Cause: err}
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -475,7 +475,7 @@
 		}
 		target.nextRequestID++
 		target.pendingFetches[target.nextRequestID] = func(r control.FetchReply) {
-			s.schedule(simTick, func() { s.post(n, control.PeerFetched{From: e.From, Reply: r}) })
+			s.schedule(simTick, func() { s.post(n, control.PeerFetched{From: e.From, Request: e.Request, Reply: r}) })
 		}
 		s.post(target, control.FetchRequested{RequestID: target.nextRequestID, Request: e.Request})
 	})
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -59,8 +59,8 @@
 		if fromPeer {
 			r = m.deletionIfStale(r)
 		}
-		isNew, changed := m.objects.merge(r, from, m.now)
 		key := objectKey{r.Kind, r.Name}
+		isNew, changed := m.objects.merge(r, from, m.now)
 		o := m.objects.objects[key]
 		if isNew && fromPeer && m.isDocument(r.Kind) {
 			m.document.changed[key] = true
@@ -402,8 +402,10 @@
 		m.log("fetch_failed", "from", e.From, "error", e.Err)
 		return
 	}
-	changed := m.mergeObjects(e.Reply.Objects, e.From, e.Reply.Complete.Catalogue)
-	if !m.Ready() {
+	records := append(e.Reply.Objects, m.deletionsFromCopy(e.Reply)...)
+	changed := m.mergeObjects(records, e.From, e.Reply.Complete.Catalogue)
+	whole := m.holdsCopy(e.Request, e.Reply)
+	if !m.Ready() && whole {
 		m.adoptCompleteness(e.Reply.Complete, "copy of "+e.From)
 		if m.Ready() {
 			m.log("catalogue_from_peer", "from", e.From, "revision", m.complete.lowest())
@@ -412,7 +414,7 @@
 	for _, r := range e.Reply.Members {
 		m.mergeRecord(r, e.From)
 	}
-	if !m.Ready() && len(changed) > 0 {
+	if !m.Ready() && (len(changed) > 0 || !whole && e.Reply.Complete != (Completeness{})) {
 		m.fetch(e.From)
 		return
 	}
@@ -421,6 +423,42 @@
 	}
 }
 
+// deletionsFromCopy returns deletions of the objects that the sender of a copy does not know
+// although it knows every object up to a later revision than this VM: they were deleted, and
+// the sender has never known them.
+func (m *Machine) deletionsFromCopy(reply FetchReply) []ObjectRecord {
+	present := make(map[objectKey]bool, len(reply.Objects))
+	for _, r := range reply.Objects {
+		present[objectKey{r.Kind, r.Name}] = true
+	}
+	var deletions []ObjectRecord
+	for key, o := range m.objects.objects {
+		revision := reply.Complete.of(key.kind)
+		if revision == nil || *revision <= m.completeUpTo(key.kind) || !reply.Buckets.has(key.bucket()) {
+			continue
+		}
+		if !present[key] && !o.record.Deleted && o.record.Version <= *revision {
+			deletions = append(deletions, ObjectRecord{Kind: key.kind, Name: key.name, Version: *revision, Deleted: true})
+		}
+	}
+	return deletions
+}
+
+// holdsCopy reports whether this VM holds every object of a copy that it has merged, and none
+// that the sender lacks: others may have sent such since the request. A sender of an earlier
+// version does not tell which buckets it has sent.
+func (m *Machine) holdsCopy(request FetchRequest, reply FetchReply) bool {
+	if reply.Buckets == 0 && len(reply.Objects) > 0 {
+		return true
+	}
+	for b, digest := range m.objects.buckets {
+		if !reply.Buckets.has(b) && (len(request.Objects) != digestBuckets || request.Objects[b] != digest) {
+			return false
+		}
+	}
+	return true
+}
+
 // maxRelayedObjects is the largest number of objects relayed after a fetch or a list, or
 // from another data centre while a VM of this one watches; larger differences are replicated
 // by fetches.
@@ -431,7 +469,7 @@
 	reply := FetchReply{}
 	if m.Ready() {
 		var more bool
-		reply.Objects, more = m.objects.differing(e.Request.Objects)
+		reply.Objects, reply.Buckets, more = m.objects.differing(e.Request.Objects)
 		if !more {
 			reply.Complete = m.complete
 		}
