State entries of later configurations beside a completeness

A VM that has got some entries of a later configuration, but not all, stated the earlier one to others as if it held no more: with the digest of its objects in heartbeats, and in copies. A VM with equal objects took over the earlier configuration although it lacked a route of it, and one that started did not learn of later deletions. Such a VM takes an update of the next change for complete, and can keep an older value or refuse a route until the next configuration.

Change: a copy carries the later entries of its sender, which the receiver marks as such. A heartbeat states no completeness of the catalogue while there are any. A value that is known under an earlier version counts as later too when a peer sends it under a later one.

Evidence: TestEntriesOfLaterConfigurationsAreTold fails without either part.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -205,7 +205,7 @@
 func (m *Machine) newHeartbeat() Heartbeat {
 	h := Heartbeat{
 		Incarnation: m.self.incarnation,
-		Complete:    m.complete,
+		Complete:    m.statedCompleteness(),
 		Objects:     m.objects.digest,
 		Members:     m.members.currentDigest(),
 	}
--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -90,6 +90,27 @@
 	return records
 }
 
+// markChangedEntries records that entries of another VM's copy belong to later documents than
+// the one up to which that VM is complete.
+func (m *Machine) markChangedEntries(records []ObjectRecord) {
+	for _, r := range records {
+		key := objectKey{r.Kind, r.Name}
+		if o := m.objects.objects[key]; o != nil && o.record.Version > m.completeUpTo(r.Kind) {
+			m.document.changed[key] = true
+		}
+	}
+}
+
+// statedCompleteness returns the completeness that this VM states beside a digest of all its
+// objects. The digest is that of no document while entries of later ones are among them.
+func (m *Machine) statedCompleteness() Completeness {
+	stated := m.complete
+	if len(m.document.changed) > 0 {
+		stated.Catalogue = 0
+	}
+	return stated
+}
+
 // forgetChangedEntries ends the record of changed entries up to a document that this VM now
 // holds. Entries of later documents remain.
 func (m *Machine) forgetChangedEntries(complete uint64) {
--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -13,6 +13,7 @@
 	"egretroad/internal/control"
 	"egretroad/internal/peer/method"
 	"egretroad/internal/platform"
+	"egretroad/internal/rapidseed"
 	"egretroad/internal/reducer"
 	"egretroad/internal/topology"
 )
@@ -128,6 +129,34 @@
 	g.Expect(v.inForce()).To(Equal(latest))
 }
 
+// A VM that has an entry of a later configuration states neither that its objects are those of the
+// earlier one, nor passes it on without telling the entry.
+func TestEntriesOfLaterConfigurationsAreTold(t *testing.T) {
+	g := NewWithT(t)
+	sender := newDocumentVM("a2", documentFleet, 5, document{"x": 1, "y": 1})
+	sender.receiveUpdate("a3", control.ObjectUpdate{Objects: []control.ObjectRecord{{Kind: platform.KindCatalogue, Name: "x", Version: 9, Deleted: true}}})
+	sender.sent = nil
+	sender.now += time.Second
+	sender.step(reducer.Tick{Now: sender.now})
+
+	behind := newDocumentVM("a1", documentFleet, 3, document{"y": 1})
+	for _, m := range sender.sent {
+		if m.to == "a1" {
+			behind.receive(m.message)
+		}
+	}
+	g.Expect(sender.sent).NotTo(BeEmpty())
+	g.Expect(behind.complete()).To(Equal(uint64(3)), "equal objects, but not those of configuration 5")
+
+	starting := startDocumentVM("a1", documentFleet, 1, []topology.VM{harnessVM("a2", "a")})
+	starting.step(reducer.Tick{Now: starting.now})
+	request := starting.requests[0].Request
+	sender.step(control.FetchRequested{RequestID: 1, Request: request})
+	starting.step(control.PeerFetched{From: "a2", Request: request, Reply: sender.reply})
+	g.Expect(starting.complete()).To(Equal(uint64(5)))
+	g.Expect(starting.m.Dump().Later).To(Equal([]string{"x@9"}))
+}
+
 // claimModel is a fleet whose VMs start at any time, also before the first configuration. Their
 // answers of the store arrive late, and copies in parts.
 type claimModel struct {
@@ -324,9 +353,13 @@
 	m.copies[to.id] = append(m.copies[to.id], reply)
 }
 
+// claimCases is the number of cases of the search in a run of all tests.
+const claimCases = 5000
+
 // Whatever the order of starts, answers of the store, messages and copies, what a VM claims to
 // hold is what it has in force.
 func TestVMHoldsConfigurationUpToWhichItIsComplete(t *testing.T) {
+	rapidseed.SetChecks(t, claimCases)
 	rapid.Check(t, func(t *rapid.T) {
 		m := newClaimModel()
 		t.Repeat(m.actions())
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -150,7 +150,9 @@
 	Complete Completeness   `msgpack:"k"` // of the sender; zero if more buckets differ
 	Buckets  bucketSet      `msgpack:"b,omitempty"`
 	Objects  []ObjectRecord `msgpack:"o,omitempty"`
-	Members  []Record       `msgpack:"m,omitempty"`
+	// Later holds the entries that belong to later documents than Complete, whatever their buckets.
+	Later   []ObjectRecord `msgpack:"l,omitempty"`
+	Members []Record       `msgpack:"m,omitempty"`
 }
 
 // StatusReport is the body of method.Status. A VM sends it to the watcher of its
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -151,6 +151,14 @@
 	return true
 }
 
+// versionOf returns the version of an object's newest record; 0 if it is unknown.
+func (t *objectTable) versionOf(key objectKey) uint64 {
+	if o := t.objects[key]; o != nil {
+		return o.record.Version
+	}
+	return 0
+}
+
 // parse puts the record in force if it is valid, and sets parseErr otherwise.
 func (o *object) parse() {
 	if o.record.Deleted {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -60,9 +61,10 @@
 			r = m.deletionIfStale(r)
 		}
 		key := objectKey{r.Kind, r.Name}
+		before := m.objects.versionOf(key)
 		isNew, changed := m.objects.merge(r, from, m.now)
 		o := m.objects.objects[key]
-		if isNew && fromPeer && m.isDocument(r.Kind) {
+		if fromPeer && m.isDocument(r.Kind) && m.objects.versionOf(key) > max(before, m.completeUpTo(r.Kind)) {
 			m.document.changed[key] = true
 		}
 		if isNew {
@@ -402,10 +404,11 @@
 		m.log("fetch_failed", "from", e.From, "error", e.Err)
 		return
 	}
-	records := append(e.Reply.Objects, m.deletionsFromCopy(e.Reply)...)
+	records := slices.Concat(e.Reply.Objects, e.Reply.Later, m.deletionsFromCopy(e.Reply))
 	changed := m.mergeObjects(records, e.From, e.Reply.Complete.Catalogue)
 	whole := m.holdsCopy(e.Request, e.Reply)
 	if !m.Ready() && whole {
+		m.markChangedEntries(e.Reply.Later)
 		m.adoptCompleteness(e.Reply.Complete, "copy of "+e.From)
 		if m.Ready() {
 			m.log("catalogue_from_peer", "from", e.From, "revision", m.complete.lowest())
@@ -427,8 +430,8 @@
 // although it knows every object up to a later revision than this VM: they were deleted, and
 // the sender has never known them.
 func (m *Machine) deletionsFromCopy(reply FetchReply) []ObjectRecord {
-	present := make(map[objectKey]bool, len(reply.Objects))
-	for _, r := range reply.Objects {
+	present := make(map[objectKey]bool, len(reply.Objects)+len(reply.Later))
+	for _, r := range slices.Concat(reply.Objects, reply.Later) {
 		present[objectKey{r.Kind, r.Name}] = true
 	}
 	var deletions []ObjectRecord
@@ -471,7 +474,7 @@
 		var more bool
 		reply.Objects, reply.Buckets, more = m.objects.differing(e.Request.Objects)
 		if !more {
-			reply.Complete = m.complete
+			reply.Complete, reply.Later = m.complete, m.changedEntries()
 		}
 		if e.Request.Members != m.members.currentDigest() {
 			reply.Members = m.members.outgoingRecords()
