Date an answer of the store that was kept by when it came

Change: a response tells for each kind when the store gave the answer, and a VM's contact with the store is that time.

--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -157,6 +157,20 @@
 	g.Expect(starting.m.Dump().Later).To(Equal([]string{"x@9"}))
 }
 
+// A VM that had stopped watching took an answer from a minute before for a sign of a working watch.
+func TestKeptAnswerIsNoContactWithStore(t *testing.T) {
+	g := NewWithT(t)
+	v := newDocumentVM("a1", documentFleet, 5, document{"x": 1})
+	v.now += time.Minute
+	v.step(reducer.Tick{Now: v.now})
+	old := v.now - time.Minute
+	v.step(control.ObjectsWatched{Response: platform.WatchResponse{
+		Ranges:     map[string]platform.RevisionRange{platform.KindCatalogue: {}, platform.KindServer: {}},
+		AnsweredAt: map[string]time.Duration{platform.KindCatalogue: old, platform.KindServer: old},
+	}})
+	g.Expect(v.m.Dump().WatchAgeMS).To(BeNumerically(">=", time.Minute.Milliseconds()))
+}
+
 // claimModel is a fleet whose VMs start at any time, also before the first configuration. Their
 // answers of the store arrive late, and copies in parts.
 type claimModel struct {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -148,7 +148,7 @@
 		return
 	}
 	m.log("kind_listed", "kind", e.Kind, "revision", e.List.Revision, "objects", len(e.List.Objects))
-	m.recordAnswer(e.Kind)
+	m.recordAnswer(e.Kind, m.now)
 	m.noticeEpoch(platform.EpochOf(e.List.Revision))
 	wasReady := m.Ready()
 	var changed []ObjectRecord
@@ -277,13 +277,21 @@
 			continue
 		}
 		if e.Response.Answers(kind) {
-			m.recordAnswer(kind)
+			m.recordAnswer(kind, m.answeredAt(e.Response, kind))
 		}
 		m.mergeWatched(kind, e.Response.Range(kind, e.Since), e.Response.Objects)
 	}
 	m.announceWatchContact()
 }
 
+// answeredAt returns when the store gave the answer for a kind in the response to a watch.
+func (m *Machine) answeredAt(response platform.WatchResponse, kind string) time.Duration {
+	if at, kept := response.AnsweredAt[kind]; kept {
+		return at
+	}
+	return m.now
+}
+
 // mergeWatched merges the changes of one kind in a range of revisions. The relayed update
 // has every object changed since the revision up to which this VM was complete, also those
 // that a peer had sent already: a receiver may lack them.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -130,9 +130,9 @@
 	}
 }
 
-// recordAnswer records that the store has answered a list or a watch of a kind.
-func (m *Machine) recordAnswer(kind string) {
-	m.watch.answered[kind] = m.now
+// recordAnswer records when the store has answered a list or a watch of a kind.
+func (m *Machine) recordAnswer(kind string, at time.Duration) {
+	m.watch.answered[kind] = max(m.watch.answered[kind], min(at, m.now))
 	m.reportWatchState()
 }
 
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -98,6 +98,9 @@
 	// have an empty range. If it is nil, the range of every kind is that from the requested
 	// revision to Revision.
 	Ranges map[string]RevisionRange `json:"-"`
+	// AnsweredAt holds, by kind, when the store answered, on CLOCK_BOOTTIME: an answer may have
+	// been kept for some time. A kind that it lacks was answered just now.
+	AnsweredAt map[string]time.Duration `json:"-"`
 }
 
 // RevisionRange is a range of revisions, without Since and with Revision.
