Show that a host is refused between two parts of a copy

A configuration that gives the route of a host another name reaches a VM in parts if its copy has more than 512 KB. The VM puts the deletion of the old name in force before it has the new one, and refuses callers of the host meanwhile, for some 300 ms or longer. No configuration allows that.

Evidence: TestHostOfRenamedRouteIsServedBetweenPartsOfCopy fails each time. Not fixed: a deletion that is held back until the rest has arrived would serve dropped routes for longer where the rest is late. The parts of a copy have to be merged together.

--- a/internal/control/document_claims_test.go
+++ b/internal/control/document_claims_test.go
@@ -157,6 +157,23 @@
 	g.Expect(starting.m.Dump().Later).To(Equal([]string{"x@9"}))
 }
 
+// A configuration gives a host's route another name, and a VM gets it in two parts of a copy. The
+// host was refused between them, which no configuration allows.
+func TestHostOfRenamedRouteIsServedBetweenPartsOfCopy(t *testing.T) {
+	g := NewWithT(t)
+	v := newDocumentVM("a1", documentFleet, 5, document{"before": 1})
+	host := simEntry(0).Database
+	parts := [][]control.ObjectRecord{
+		{{Kind: platform.KindCatalogue, Name: "before", Version: 7, Deleted: true}},
+		{documentRecord("after", 1, 7)},
+	}
+	for i, part := range parts {
+		v.step(control.PeerFetched{From: "a2", Reply: control.FetchReply{Objects: part}})
+		_, err := v.snapshot.Catalogue.Resolve(host, "", "")
+		g.Expect(err).NotTo(HaveOccurred(), "after part %d", i+1)
+	}
+}
+
 // A VM that had stopped watching took an answer from a minute before for a sign of a working watch.
 func TestKeptAnswerIsNoContactWithStore(t *testing.T) {
 	g := NewWithT(t)
