--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -104,8 +104,8 @@
 }
 
 // Completeness holds, by kind, the revision up to which a VM knows every change; 0 if it
-// knows none, or if there was none when the store listed the kind. Each kind has a revision of its own, because a message with all changes of
-// one kind may lack those of the other.
+// knows none, or if there was none when the store listed the kind. Each kind has a revision
+// of its own, because a message with all changes of one kind may lack those of the other.
 type Completeness struct {
 	Catalogue uint64 `msgpack:"c" json:"catalogue"`
 	Groups    uint64 `msgpack:"g" json:"groups"` // groups, or the registrations from which they are built
